--- /dev/null
+++ b/crates/cactusbarrow_agent/src/answers.rs
@@ -0,0 +1,72 @@
+//! Answers of claimed calls, held for retries under the same key.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use cactusbarrow_policy::KeyHash;
+use http::Response;
+use tokio::sync::watch;
+
+/// The answer of a call; `None` while it runs, `Some(None)` if it will never be known.
+pub(crate) type AnswerState = Option<Option<Response<Bytes>>>;
+
+/// Receives the answer of a call.
+pub(crate) type AnswerReceiver = watch::Receiver<AnswerState>;
+
+#[derive(Debug, Default)]
+struct Table {
+    by_key: HashMap<KeyHash, AnswerReceiver>,
+    by_age: VecDeque<(Instant, KeyHash, usize)>,
+    bytes: usize,
+}
+
+/// Answers held in bounded memory for a bounded time.
+#[derive(Debug)]
+pub(crate) struct Answers {
+    max_bytes: usize,
+    retention: Duration,
+    table: Mutex<Table>,
+}
+
+impl Answers {
+    /// Creates an empty table.
+    pub(crate) fn new(max_bytes: usize, retention: Duration) -> Self {
+        Self {
+            max_bytes,
+            retention,
+            table: Mutex::default(),
+        }
+    }
+
+    /// Records that a call runs; its answer will come through `rx`.
+    pub(crate) fn begin(&self, key: KeyHash, rx: AnswerReceiver) {
+        self.lock().by_key.insert(key, rx);
+    }
+
+    /// Records that an answer of `bytes` is complete, and forgets the oldest beyond the bounds.
+    pub(crate) fn complete(&self, key: KeyHash, bytes: usize, now: Instant) {
+        let mut table = self.lock();
+        table.by_age.push_back((now, key, bytes));
+        table.bytes += bytes;
+        while let Some((at, key, bytes)) = table.by_age.front().copied() {
+            let is_expired = now.duration_since(at) >= self.retention;
+            if !is_expired && table.bytes <= self.max_bytes {
+                break;
+            }
+            table.by_age.pop_front();
+            table.by_key.remove(&key);
+            table.bytes -= bytes;
+        }
+    }
+
+    /// Returns a receiver of the answer under a key, if it is held or awaited.
+    pub(crate) fn get(&self, key: KeyHash) -> Option<AnswerReceiver> {
+        self.lock().by_key.get(&key).cloned()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Table> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/cactusbarrow_agent/src/config.rs
@@ -0,0 +1,74 @@
+//! Settings of an agent.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// What the backend server is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BackendKind {
+    /// A model engine.
+    Engine,
+    /// A plain HTTP service.
+    Service,
+}
+
+/// Settings of one agent, as its process learns them at its start.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AgentConfig {
+    /// Name of the backend server, as in the operators' document.
+    pub name: String,
+    /// Address for requests of routers.
+    pub listen: SocketAddr,
+    /// Address for control messages.
+    pub control: SocketAddr,
+    /// Address of the backend server.
+    pub backend: SocketAddr,
+    /// What the backend server is.
+    pub kind: BackendKind,
+    /// Requests in flight admitted until the configuration says otherwise.
+    pub initial_limit: usize,
+    /// Longest time that a generation goes on without a reader.
+    pub orphan_grace: Duration,
+    /// How long a finished generation is held for readers that come back.
+    pub finished_retention: Duration,
+    /// How long the answer of a claimed call is held.
+    pub answer_retention: Duration,
+    /// Memory for held answers, in bytes.
+    pub answer_memory: usize,
+    /// Time after the start of a drain at which generations are moved elsewhere.
+    pub move_after: Duration,
+    /// Longest time from SIGTERM to the end of the process.
+    pub grace: Duration,
+    /// Interval of the frames that tell a reader the agent is alive.
+    pub alive_interval: Duration,
+    /// Interval of the probes of the backend server; also their timeout.
+    pub probe_interval: Duration,
+}
+
+impl AgentConfig {
+    /// Returns settings with the default times and limits.
+    pub fn new(
+        name: &str,
+        listen: SocketAddr,
+        control: SocketAddr,
+        backend: SocketAddr,
+        kind: BackendKind,
+    ) -> Self {
+        Self {
+            name: name.to_owned(),
+            listen,
+            control,
+            backend,
+            kind,
+            initial_limit: 0,
+            orphan_grace: Duration::from_secs(15),
+            finished_retention: Duration::from_secs(30),
+            answer_retention: Duration::from_secs(600),
+            answer_memory: 32 << 20,
+            move_after: Duration::from_secs(10),
+            grace: Duration::from_secs(30),
+            alive_interval: Duration::from_millis(200),
+            probe_interval: Duration::from_millis(500),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cactusbarrow_agent/src/control.rs
@@ -0,0 +1,92 @@
+//! Control messages of routers.
+
+use std::sync::Arc;
+
+use cactusbarrow_net::{Clock, ControlHandler};
+use cactusbarrow_policy::{AttemptNumber, DrainCause, GenerationId, Revision};
+use cactusbarrow_protocol::generated as wire;
+use wire::control_reply::Reply;
+use wire::control_request::Request;
+
+use crate::agent::Agent;
+
+/// Answers control messages for an agent.
+#[derive(Debug)]
+pub(crate) struct AgentControl<C: Clock>(pub(crate) Arc<Agent<C>>);
+
+impl<C: Clock> ControlHandler for AgentControl<C> {
+    async fn handle(&self, req: Request) -> Reply {
+        match req {
+            Request::Poll(poll) => Reply::Poll(self.poll(&poll)),
+            Request::Cancel(cancel) => {
+                self.cancel(&cancel);
+                Reply::Done(wire::Done {})
+            }
+            // The others are for routers; an agent has nothing to say to them.
+            _ => Reply::Done(wire::Done {}),
+        }
+    }
+}
+
+impl<C: Clock> AgentControl<C> {
+    fn poll(&self, poll: &wire::Poll) -> wire::PollReply {
+        let agent = &self.0;
+        agent.orders().record_heard(agent.clock.now());
+        if let Some(view) = &poll.view {
+            self.adopt(view);
+        }
+        if agent.adopt_host_list(poll.host_list_index) {
+            agent.set_draining(DrainCause::HostList, poll.is_leaving);
+        }
+        let gate = agent.gate();
+        let loaded_version = agent.orders().loaded().unwrap_or_default().to_owned();
+        wire::PollReply {
+            revision: gate.revision().0,
+            in_flight: gate.in_flight() as u32,
+            draining: gate.is_draining(),
+            engine_alive: agent.is_engine_alive(),
+            backend_server: agent.cfg.name.clone(),
+            loaded_version,
+        }
+    }
+
+    fn adopt(&self, view: &wire::AgentView) {
+        let agent = &self.0;
+        if view.backend_server != agent.cfg.name {
+            log::warn!(
+                step = "adopt view",
+                backend_server = agent.cfg.name,
+                named = view.backend_server;
+                "router means another backend server"
+            );
+            return;
+        }
+        let revision = Revision(view.revision);
+        let version = Some(view.model_version.as_str()).filter(|v| !v.is_empty());
+        let limit = view.max_in_flight as usize;
+        let is_adopted = agent.gate().adopt(revision, limit, view.draining, version);
+        if !is_adopted {
+            return;
+        }
+        agent.note_drain();
+        agent.revisions.send_replace(revision);
+        if let Some(version) = version {
+            let now = agent.clock.now();
+            let name = &agent.cfg.name;
+            agent
+                .orders()
+                .want(version, revision, name, view.version_servers, now);
+        }
+        log::info!(backend_server = agent.cfg.name, revision = revision.0; "configuration adopted");
+    }
+
+    fn cancel(&self, cancel: &wire::CancelAttempt) {
+        let Some(id) = GenerationId::from_slice(&cancel.generation) else {
+            return;
+        };
+        let attempt = AttemptNumber(cancel.attempt);
+        let now = self.0.clock.now();
+        self.0.gate().fence_attempt(id, attempt, now);
+        self.0.records.cancel(id, attempt);
+    }
+}
--- /dev/null
+++ b/crates/cactusbarrow_agent/src/generate.rs
@@ -0,0 +1,108 @@
+//! Requests for generations: new attempts, and readers that come back.
+
+use std::sync::Arc;
+
+use cactusbarrow_net::{Body, Clock, collect_limited};
+use cactusbarrow_policy::{AttemptNumber, GenerationId, Outcome, Reason, TokenBuffer, Work};
+use cactusbarrow_protocol::generated::{AttachRequest, GenerateRequest};
+use cactusbarrow_protocol::{MAX_FRAME_BYTES, run_to_buffer};
+use http::{Response, StatusCode};
+use hyper::body::Incoming;
+use prost::Message;
+
+use crate::agent::Agent;
+use crate::records::Record;
+use crate::respond::{failed, refused};
+use crate::{pump, reader};
+
+/// Starts an attempt, if the gate admits it, and streams it.
+pub(crate) async fn generate<C: Clock>(
+    agent: &Arc<Agent<C>>,
+    body: Incoming,
+    peer: &str,
+) -> Response<Body> {
+    let Some(mut req) = read_message::<GenerateRequest>(body, peer).await else {
+        return bad_request();
+    };
+    let (Some(id), Some(prefix)) = (
+        GenerationId::from_slice(&req.generation),
+        prefix_of(&mut req),
+    ) else {
+        return bad_request();
+    };
+    if !req.backend_server.is_empty() && req.backend_server != agent.cfg.name {
+        return refused(Reason::NoBackend);
+    }
+    let work = Work::Attempt {
+        generation: id,
+        attempt: AttemptNumber(req.attempt),
+        version: &req.version,
+    };
+    let permit = match agent.admit(&work) {
+        Ok(permit) => permit,
+        Err(reason) => return refused(reason),
+    };
+    let from = prefix.len();
+    let record = Arc::new(Record::new(req, prefix, agent.stop.child_token()));
+    agent.records.insert(id, record.clone());
+    let stream = stream_to_body(agent, record.clone(), from, false);
+    agent
+        .tasks
+        .spawn(pump::run(agent.clone(), id, record, permit));
+    stream
+}
+
+/// Streams a generation that this agent holds.
+pub(crate) async fn attach<C: Clock>(
+    agent: &Arc<Agent<C>>,
+    body: Incoming,
+    peer: &str,
+) -> Response<Body> {
+    let Some(req) = read_message::<AttachRequest>(body, peer).await else {
+        return bad_request();
+    };
+    let Some(id) = GenerationId::from_slice(&req.generation) else {
+        return bad_request();
+    };
+    let record = agent.records.get(id).filter(|record| {
+        let is_owner = record.req.customer_hash == req.customer_hash;
+        let is_recent = record.attempt.0 >= req.held_attempt;
+        let held = record.state().tokens.len() as u64;
+        is_owner && is_recent && held >= req.held_tokens.max(req.from)
+    });
+    match record {
+        Some(record) => stream_to_body(agent, record, req.from as usize, true),
+        None => failed(
+            StatusCode::NOT_FOUND,
+            Outcome::Unknown,
+            Reason::GenerationLost,
+        ),
+    }
+}
+
+fn stream_to_body<C: Clock>(
+    agent: &Arc<Agent<C>>,
+    record: Arc<Record>,
+    from: usize,
+    with_request: bool,
+) -> Response<Body> {
+    let (tx, body) = Body::channel();
+    let reader = reader::run(agent.clone(), record, from, with_request, tx);
+    agent.tasks.spawn(reader);
+    Response::new(body)
+}
+
+fn prefix_of(req: &mut GenerateRequest) -> Option<TokenBuffer> {
+    req.prefix
+        .take()
+        .map_or_else(|| Some(TokenBuffer::new()), run_to_buffer)
+}
+
+fn bad_request() -> Response<Body> {
+    failed(StatusCode::BAD_REQUEST, Outcome::NotRun, Reason::BadRequest)
+}
+
+async fn read_message<M: Message + Default>(body: Incoming, peer: &str) -> Option<M> {
+    let bytes = collect_limited(body, MAX_FRAME_BYTES, peer).await.ok()??;
+    M::decode(bytes).ok()
+}
--- /dev/null
+++ b/crates/cactusbarrow_agent/src/orders.rs
@@ -0,0 +1,114 @@
+//! Probes of the backend server, and orders to an engine.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cactusbarrow_net::{Body, Clock};
+use cactusbarrow_policy::LoadOrder;
+use http::Request;
+use serde::{Deserialize, Serialize};
+
+use crate::agent::Agent;
+use crate::config::BackendKind;
+
+const MAX_ANSWER_BYTES: usize = 64 << 10;
+const LOAD_TIMEOUT: Duration = Duration::from_secs(600);
+
+#[derive(Deserialize)]
+struct EngineState {
+    model_version: Option<String>,
+}
+
+#[derive(Serialize)]
+struct LoadBody<'a> {
+    model_version: &'a str,
+    fencing_number: u64,
+}
+
+/// Probes the backend server until the agent stops.
+pub(crate) async fn probe<C: Clock>(agent: Arc<Agent<C>>) {
+    loop {
+        let is_alive = match agent.cfg.kind {
+            BackendKind::Engine => probe_engine(&agent).await,
+            BackendKind::Service => probe_service(&agent).await,
+        };
+        agent.set_engine_alive(is_alive);
+        tokio::select! {
+            () = agent.stop.cancelled() => return,
+            () = tokio::time::sleep(agent.cfg.probe_interval) => {}
+        }
+    }
+}
+
+async fn probe_engine<C: Clock>(agent: &Arc<Agent<C>>) -> bool {
+    let Some(state) = get(agent, "/state").await else {
+        return false;
+    };
+    let Ok(state) = serde_json::from_slice::<EngineState>(&state) else {
+        return false;
+    };
+    let order = {
+        let mut orders = agent.orders();
+        orders.record_loaded(state.model_version.as_deref());
+        orders.next_order(agent.clock.now())
+    };
+    if let Some(order) = order {
+        agent.tasks.spawn(send_order(agent.clone(), order));
+    }
+    true
+}
+
+async fn probe_service<C: Clock>(agent: &Arc<Agent<C>>) -> bool {
+    // Any answer will do: a plain service need not know the path.
+    get(agent, "/healthz").await.is_some()
+}
+
+async fn get<C: Clock>(agent: &Agent<C>, path: &str) -> Option<bytes::Bytes> {
+    let req = Request::get(format!("http://{}{path}", agent.cfg.backend))
+        .body(Body::Empty)
+        .ok()?;
+    let timeout = agent.cfg.probe_interval;
+    let res = agent
+        .http
+        .send_whole("probe", req, timeout, MAX_ANSWER_BYTES)
+        .await;
+    res.ok().map(http::Response::into_body)
+}
+
+async fn send_order<C: Clock>(agent: Arc<Agent<C>>, order: LoadOrder) {
+    let is_done = load(&agent, &order).await;
+    let result = if is_done { "done" } else { "failed" };
+    metrics::counter!("cactusbarrow_agent_orders_total", "result" => result).increment(1);
+    log::info!(
+        backend_server = agent.cfg.name,
+        version = order.version,
+        fence = order.fence.0,
+        done = is_done;
+        "load order ended"
+    );
+    let now = agent.clock.now();
+    agent.orders().record_result(&order, is_done, now);
+}
+
+async fn load<C: Clock>(agent: &Agent<C>, order: &LoadOrder) -> bool {
+    let body = serde_json::to_vec(&LoadBody {
+        model_version: &order.version,
+        fencing_number: order.fence.0,
+    });
+    let Ok(body) = body else { return false };
+    let req = Request::post(format!("http://{}/load", agent.cfg.backend))
+        .header(http::header::CONTENT_TYPE, "application/json")
+        .body(Body::full(body));
+    let Ok(req) = req else { return false };
+    let res = agent
+        .http
+        .send_whole("load order", req, LOAD_TIMEOUT, MAX_ANSWER_BYTES)
+        .await;
+    match res {
+        Ok(res) => res.status().is_success(),
+        Err(e) => {
+            log::warn!(step = e.step, peer = e.peer; "{e}");
+            false
+        }
+    }
+}
--- /dev/null
+++ b/crates/cactusbarrow_agent/src/pump.rs
@@ -0,0 +1,84 @@
+//! Moves tokens from the engine's stream into a record.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use cactusbarrow_net::Clock;
+use cactusbarrow_policy::{EndReason, GenerationId, Reason};
+use cactusbarrow_protocol::generated::EndKind;
+
+use crate::agent::{Agent, AgentPermit};
+use crate::engine::{EngineError, EngineEvent, EngineStream};
+use crate::records::Record;
+
+const ORPHAN_CHECK: Duration = Duration::from_millis(500);
+
+/// Runs one attempt to its end, then holds the record for late readers.
+pub(crate) async fn run<C: Clock>(
+    agent: Arc<Agent<C>>,
+    id: GenerationId,
+    record: Arc<Record>,
+    permit: AgentPermit<C>,
+) {
+    let kind = pump(&agent, &record).await;
+    drop(permit);
+    let reason = match kind {
+        EndKind::Stop | EndKind::Length => "",
+        EndKind::Rejected => Reason::BackendError.as_str(),
+        EndKind::Refused => Reason::BackendFull.as_str(),
+        _ => Reason::EngineLost.as_str(),
+    };
+    record.end(kind, reason);
+    tokio::select! {
+        () = tokio::time::sleep(agent.cfg.finished_retention) => {}
+        () = agent.stop.cancelled() => {}
+    }
+    agent.records.remove(id, record.attempt);
+}
+
+async fn pump<C: Clock>(agent: &Agent<C>, record: &Record) -> EndKind {
+    let prefix = record.state().tokens.ids().to_vec();
+    let start = EngineStream::start(&agent.http, agent.cfg.backend, &record.req, &prefix);
+    let mut stream = tokio::select! {
+        () = record.cancel.cancelled() => return EndKind::Cancelled,
+        started = start => match started {
+            Ok(stream) => stream,
+            Err(e) => return end_of_error(agent, &e),
+        },
+    };
+    let mut orphan_check = tokio::time::interval(ORPHAN_CHECK);
+    loop {
+        tokio::select! {
+            () = record.cancel.cancelled() => return EndKind::Cancelled,
+            _ = orphan_check.tick() => {
+                if is_orphaned(agent, record, agent.clock.now()) {
+                    metrics::counter!("cactusbarrow_agent_orphans_total").increment(1);
+                    return EndKind::Cancelled;
+                }
+            }
+            event = stream.next() => match event {
+                Ok(EngineEvent::Tokens(tokens)) => record.push(&tokens),
+                Ok(EngineEvent::End(EndReason::Stop)) => return EndKind::Stop,
+                Ok(EngineEvent::End(EndReason::Length)) => return EndKind::Length,
+                Err(e) => return end_of_error(agent, &e),
+            },
+        }
+    }
+}
+
+fn end_of_error<C: Clock>(agent: &Agent<C>, error: &EngineError) -> EndKind {
+    log::warn!(step = "generate", backend_server = agent.cfg.name; "{error}");
+    match error {
+        EngineError::Rejected(_) => EndKind::Rejected,
+        EngineError::NotReady(_) => EndKind::Refused,
+        EngineError::Lost(_) => EndKind::EngineLost,
+    }
+}
+
+fn is_orphaned<C: Clock>(agent: &Agent<C>, record: &Record, now: Instant) -> bool {
+    let state = record.state();
+    state.readers == 0
+        && state
+            .orphaned_at
+            .is_some_and(|at| now.duration_since(at) >= agent.cfg.orphan_grace)
+}
--- /dev/null
+++ b/crates/cactusbarrow_agent/src/run.rs
@@ -0,0 +1,137 @@
+//! Starts an agent and stops it gracefully.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cactusbarrow_net::{Body, Clock, ControlServer, NetError, PeerAddr, ServeConfig, serve};
+use cactusbarrow_policy::{DrainCause, Outcome, Reason, Revision};
+use cactusbarrow_protocol::{ANSWER_PATH, ATTACH_PATH, CALL_PATH, GENERATE_PATH};
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+use crate::agent::Agent;
+use crate::config::AgentConfig;
+use crate::control::AgentControl;
+use crate::respond::failed;
+use crate::{calls, generate, orders};
+
+const DRAIN_POLL: Duration = Duration::from_millis(50);
+
+/// A running agent.
+#[derive(Debug)]
+pub struct AgentHandle {
+    /// Address for requests of routers.
+    pub listen: SocketAddr,
+    /// Address for control messages.
+    pub control: SocketAddr,
+    shutdown: CancellationToken,
+    revisions: watch::Receiver<Revision>,
+    done: tokio::task::JoinHandle<bool>,
+}
+
+impl AgentHandle {
+    /// Returns a receiver that learns of each revision adopted.
+    pub fn revisions(&self) -> watch::Receiver<Revision> {
+        self.revisions.clone()
+    }
+
+    /// Stops gracefully: refuses new work and lets work in flight end or move away.
+    ///
+    /// Returns true if all work ended within the grace.
+    pub async fn stop(self) -> bool {
+        self.shutdown.cancel();
+        self.done.await.unwrap_or(false)
+    }
+}
+
+async fn handle<C: Clock>(agent: &Arc<Agent<C>>, req: Request<Incoming>) -> Response<Body> {
+    let peer = req
+        .extensions()
+        .get::<PeerAddr>()
+        .map_or_else(String::new, |peer| peer.0.to_string());
+    match req.uri().path() {
+        GENERATE_PATH => generate::generate(agent, req.into_body(), &peer).await,
+        ATTACH_PATH => generate::attach(agent, req.into_body(), &peer).await,
+        path if path.starts_with(ANSWER_PATH) => calls::answer(agent, path).await,
+        path if path.starts_with(CALL_PATH) => calls::call(agent, req, &peer).await,
+        _ => failed(StatusCode::NOT_FOUND, Outcome::NotRun, Reason::BadRequest),
+    }
+}
+
+/// Starts an agent; it runs until it is stopped or `shutdown` is cancelled.
+pub async fn start<C: Clock>(
+    cfg: AgentConfig,
+    clock: C,
+    shutdown: CancellationToken,
+) -> Result<AgentHandle, NetError> {
+    let listener = TcpListener::bind(cfg.listen)
+        .await
+        .map_err(|e| NetError::new("listen", cfg.listen, e))?;
+    let listen = listener
+        .local_addr()
+        .map_err(|e| NetError::new("listen", cfg.listen, e))?;
+    let control = ControlServer::bind(cfg.control).await?;
+    let control_addr = control.local_addr();
+    let stop = CancellationToken::new();
+    let agent = Arc::new(Agent::new(cfg, clock, stop.clone()));
+    agent.tasks.spawn(orders::probe(agent.clone()));
+    let control_handler = Arc::new(AgentControl(agent.clone()));
+    agent
+        .tasks
+        .spawn(control.serve(control_handler, stop.clone()));
+    let revisions = agent.revisions.subscribe();
+    let done = tokio::spawn(run(agent, listener, shutdown.clone()));
+    Ok(AgentHandle {
+        listen,
+        control: control_addr,
+        shutdown,
+        revisions,
+        done,
+    })
+}
+
+async fn run<C: Clock>(
+    agent: Arc<Agent<C>>,
+    listener: TcpListener,
+    shutdown: CancellationToken,
+) -> bool {
+    let close = CancellationToken::new();
+    let cfg = ServeConfig {
+        grace: agent.cfg.grace,
+        ..ServeConfig::default()
+    };
+    let handler = agent.clone();
+    let service = tower::service_fn(move |req| {
+        let agent = handler.clone();
+        async move { Ok::<_, Infallible>(handle(&agent, req).await) }
+    });
+    let server = serve(listener, service, cfg, close.clone());
+    tokio::pin!(server);
+    tokio::select! {
+        () = shutdown.cancelled() => {}
+        _ = &mut server => return false,
+    }
+    agent.set_draining(DrainCause::Signal, true);
+    log::info!(backend_server = agent.cfg.name; "draining before the process ends");
+    // While work runs the agent still listens, so that routers get a definite refusal.
+    tokio::select! {
+        _ = tokio::time::timeout(agent.cfg.grace, wait_idle(&agent)) => {}
+        _ = &mut server => {}
+    }
+    close.cancel();
+    let is_clean = server.await;
+    agent.stop.cancel();
+    agent.tasks.close();
+    is_clean
+}
+
+async fn wait_idle<C: Clock>(agent: &Agent<C>) {
+    while agent.gate().in_flight() > 0 {
+        tokio::time::sleep(DRAIN_POLL).await;
+    }
+}
--- /dev/null
+++ b/crates/cactusbarrow_daemon/src/run.rs
@@ -0,0 +1,157 @@
+//! Runs one process from its command line to its graceful end.
+
+use std::path::Path;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use anyhow::Context;
+use cactusbarrow_net::SystemClock;
+use cactusbarrow_platform::ConsulStore;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+use crate::admin::{self, Status};
+use crate::flags::{Cactusbarrowd, CactusbarrowdCmd};
+use crate::logs;
+use crate::settings::{AgentSettings, RouterSettings, read_settings};
+
+const EXIT_USAGE: u8 = 2;
+const EXIT_FAILED: u8 = 1;
+const EXIT_UNCLEAN: u8 = 3;
+
+/// Runs the daemon; the exit code is 0 after a graceful end, 1 if it could not run, 2 if the
+/// command line was wrong, 3 if work was cut off at the end of the grace.
+pub fn main() -> ExitCode {
+    let flags = match Cactusbarrowd::from_env() {
+        Ok(flags) => flags,
+        Err(e) => {
+            eprintln!("{e}");
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    match run(flags) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(EXIT_UNCLEAN),
+        Err(e) => {
+            eprintln!("{e:#}");
+            ExitCode::from(EXIT_FAILED)
+        }
+    }
+}
+
+fn run(flags: Cactusbarrowd) -> anyhow::Result<bool> {
+    match flags.subcommand {
+        CactusbarrowdCmd::Router(cmd) => {
+            let settings: RouterSettings = read_settings(&cmd.settings)?;
+            if !is_check_only(&cmd.settings, cmd.check) {
+                return block_on(run_router(settings));
+            }
+        }
+        CactusbarrowdCmd::Agent(cmd) => {
+            let settings: AgentSettings = read_settings(&cmd.settings)?;
+            if !is_check_only(&cmd.settings, cmd.check) {
+                return block_on(run_agent(settings));
+            }
+        }
+    }
+    Ok(true)
+}
+
+/// Reports that settings are right, if only that was asked for.
+fn is_check_only(file: &Path, check_only: bool) -> bool {
+    if check_only {
+        println!("{}: settings are valid", file.display());
+    }
+    check_only
+}
+
+fn block_on<F: Future<Output = anyhow::Result<bool>>>(future: F) -> anyhow::Result<bool> {
+    tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .context("start the runtime")?
+        .block_on(future)
+}
+
+async fn run_router(settings: RouterSettings) -> anyhow::Result<bool> {
+    logs::start(settings.name.clone(), settings.log_level.into())?;
+    let metrics = admin::start_metrics()?;
+    let shutdown = CancellationToken::new();
+    let store = ConsulStore::new(settings.store);
+    let cfg = settings.to_config();
+    let handle = cactusbarrow_router::start(cfg, store, SystemClock, shutdown.clone())
+        .await
+        .context("start the router")?;
+    let status = Status {
+        name: settings.name.clone(),
+        role: "router",
+        ..Status::default()
+    };
+    let status = Arc::new(watch::Sender::new(status));
+    let stop_admin = CancellationToken::new();
+    let rx = status.subscribe();
+    admin::start(settings.admin, metrics, rx, stop_admin.clone()).await?;
+    log::info!(listen:% = handle.listen, control:% = handle.control; "router started");
+    let mut revisions = handle.revisions();
+    let follow = status.clone();
+    tokio::spawn(async move {
+        while revisions.changed().await.is_ok() {
+            let revision = revisions.borrow_and_update().revision().0;
+            follow.send_modify(|status| {
+                status.revision = revision;
+                status.ready = revision > 0;
+            });
+        }
+    });
+    wait_for_signal().await?;
+    status.send_modify(|status| status.ready = false);
+    let is_clean = handle.stop().await;
+    stop_admin.cancel();
+    Ok(is_clean)
+}
+
+async fn run_agent(settings: AgentSettings) -> anyhow::Result<bool> {
+    logs::start(settings.name.clone(), settings.log_level.into())?;
+    let metrics = admin::start_metrics()?;
+    let shutdown = CancellationToken::new();
+    let cfg = settings.to_config();
+    let handle = cactusbarrow_agent::start(cfg, SystemClock, shutdown.clone())
+        .await
+        .context("start the agent")?;
+    let status = watch::Sender::new(Status {
+        name: settings.name.clone(),
+        role: "agent",
+        ready: true,
+        ..Status::default()
+    });
+    let stop_admin = CancellationToken::new();
+    let rx = status.subscribe();
+    admin::start(settings.admin, metrics, rx, stop_admin.clone()).await?;
+    log::info!(listen:% = handle.listen, control:% = handle.control; "agent started");
+    let status = Arc::new(status);
+    let follow = status.clone();
+    let mut revisions = handle.revisions();
+    tokio::spawn(async move {
+        while revisions.changed().await.is_ok() {
+            let revision = revisions.borrow_and_update().0;
+            follow.send_modify(|status| status.revision = revision);
+        }
+    });
+    wait_for_signal().await?;
+    status.send_modify(|status| status.ready = false);
+    let is_clean = handle.stop().await;
+    stop_admin.cancel();
+    Ok(is_clean)
+}
+
+async fn wait_for_signal() -> anyhow::Result<()> {
+    let mut terminate = signal(SignalKind::terminate()).context("listen for SIGTERM")?;
+    let mut interrupt = signal(SignalKind::interrupt()).context("listen for SIGINT")?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    log::info!("stopping gracefully");
+    Ok(())
+}
--- /dev/null
+++ b/crates/cactusbarrow_document/src/lib.rs
@@ -0,0 +1,28 @@
+//! The operators' documents: types, parsing, validation and the fleet they describe.
+//!
+//! A document file holds one or more objects, each under the name of its kind.
+//! [`parse_objects`] reads them, [`validate`] finds every fault of a whole
+//! configuration, and [`Fleet`] answers what routers and agents ask of it.
+
+#![warn(missing_docs)]
+
+mod backend_server;
+mod customer;
+mod fleet;
+mod model_version;
+mod name;
+mod object;
+mod parse;
+mod schema;
+mod service;
+mod validate;
+
+pub use backend_server::BackendServer;
+pub use customer::{Customer, hash_api_key};
+pub use fleet::{Fleet, FleetError};
+pub use model_version::ModelVersion;
+pub use object::{KeyError, Kind, Object, ObjectKey};
+pub use parse::{ParseError, parse_objects};
+pub use schema::json_schema;
+pub use service::{Preference, Protocol, RouteRule, Service, VersionWeight, WEIGHT_TOTAL};
+pub use validate::{Fault, validate};
--- /dev/null
+++ b/crates/cactusbarrow_document/src/object.rs
@@ -0,0 +1,121 @@
+//! Objects of any kind and their keys.
+
+use std::fmt;
+use std::str::FromStr;
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+use crate::{BackendServer, Customer, ModelVersion, Service};
+
+/// Kind of an object.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Kind {
+    /// A [`Service`].
+    Service,
+    /// A [`Customer`].
+    Customer,
+    /// A [`ModelVersion`].
+    ModelVersion,
+    /// A [`BackendServer`].
+    BackendServer,
+}
+
+impl Kind {
+    /// Every kind.
+    pub const ALL: [Self; 4] = [
+        Self::Service,
+        Self::Customer,
+        Self::ModelVersion,
+        Self::BackendServer,
+    ];
+
+    /// Returns the kind's name in documents and keys.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Service => "service",
+            Self::Customer => "customer",
+            Self::ModelVersion => "model_version",
+            Self::BackendServer => "backend_server",
+        }
+    }
+}
+
+/// Kind and name of an object, written `kind/name`.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct ObjectKey {
+    /// The kind.
+    pub kind: Kind,
+    /// The name.
+    pub name: String,
+}
+
+impl fmt::Display for ObjectKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.kind.as_str(), self.name)
+    }
+}
+
+/// A text that is not an object's key.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error(
+    "`{0}` is not of the form kind/name, with a kind of service, customer, model_version or backend_server"
+)]
+pub struct KeyError(String);
+
+impl FromStr for ObjectKey {
+    type Err = KeyError;
+
+    fn from_str(text: &str) -> Result<Self, KeyError> {
+        let error = || KeyError(text.to_owned());
+        let (kind, name) = text.split_once('/').ok_or_else(error)?;
+        let kind = Kind::ALL
+            .into_iter()
+            .find(|k| k.as_str() == kind)
+            .ok_or_else(error)?;
+        Ok(Self {
+            kind,
+            name: name.to_owned(),
+        })
+    }
+}
+
+/// One object of an operator's document.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum Object {
+    /// A service.
+    Service(Service),
+    /// A customer.
+    Customer(Customer),
+    /// A model version.
+    ModelVersion(ModelVersion),
+    /// A backend server.
+    BackendServer(BackendServer),
+}
+
+impl Object {
+    /// Returns the object's kind and name.
+    pub fn key(&self) -> ObjectKey {
+        let (kind, name) = match self {
+            Self::Service(o) => (Kind::Service, &o.name),
+            Self::Customer(o) => (Kind::Customer, &o.name),
+            Self::ModelVersion(o) => (Kind::ModelVersion, &o.name),
+            Self::BackendServer(o) => (Kind::BackendServer, &o.name),
+        };
+        ObjectKey {
+            kind,
+            name: name.clone(),
+        }
+    }
+
+    /// Writes the object as one line of JSON, the form kept in the store.
+    pub fn to_json(&self) -> String {
+        serde_json::to_string(self).unwrap_or_default()
+    }
+
+    /// Reads an object from the form kept in the store.
+    pub fn from_json(text: &str) -> Result<Self, serde_json::Error> {
+        serde_json::from_str(text)
+    }
+}
--- /dev/null
+++ b/crates/cactusbarrow_net/src/control_server.rs
@@ -0,0 +1,101 @@
+//! Server side of control messages.
+
+use std::future::Future;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use anng::protocols::reqrep0::Rep0;
+use anng::{Message as NngMessage, Socket};
+use cactusbarrow_protocol::generated as wire;
+use prost::Message;
+use tokio_util::sync::CancellationToken;
+use wire::control_reply::Reply;
+use wire::control_request::Request;
+
+use crate::NetError;
+
+/// Requests that a server works on at once.
+const WORKERS: usize = 32;
+
+/// Answers control messages.
+pub trait ControlHandler: Send + Sync + 'static {
+    /// Answers one request; the same request may come twice.
+    fn handle(&self, req: Request) -> impl Future<Output = Reply> + Send;
+}
+
+/// A listening control socket.
+#[derive(Debug)]
+pub struct ControlServer {
+    socket: Arc<Socket<Rep0>>,
+    addr: SocketAddr,
+}
+
+impl ControlServer {
+    /// Listens on an address; port 0 takes any free port.
+    pub async fn bind(addr: SocketAddr) -> Result<Self, NetError> {
+        let socket = Rep0::socket().map_err(|e| NetError::new("listen", addr, e))?;
+        let addr = {
+            let listener = socket
+                .listen_tcp(addr, &Default::default())
+                .await
+                .map_err(|e| NetError::new("listen", addr, e))?;
+            listener
+                .local_addr()
+                .map_err(|e| NetError::new("listen", addr, e))?
+        };
+        Ok(Self {
+            socket: Arc::new(socket),
+            addr,
+        })
+    }
+
+    /// Returns the address it listens on.
+    pub fn local_addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Serves until `shutdown`.
+    pub async fn serve<H: ControlHandler>(self, handler: Arc<H>, shutdown: CancellationToken) {
+        let mut workers = tokio::task::JoinSet::new();
+        for _ in 0..WORKERS {
+            workers.spawn(work(self.socket.clone(), handler.clone(), shutdown.clone()));
+        }
+        while workers.join_next().await.is_some() {}
+    }
+}
+
+async fn work<H: ControlHandler>(
+    socket: Arc<Socket<Rep0>>,
+    handler: Arc<H>,
+    shutdown: CancellationToken,
+) {
+    let mut cx = socket.context();
+    loop {
+        let received = tokio::select! {
+            () = shutdown.cancelled() => return,
+            received = cx.receive() => received,
+        };
+        let (message, responder) = match received {
+            Ok(received) => received,
+            Err(e) => {
+                log::warn!(step = "receive control request"; "{e}");
+                return;
+            }
+        };
+        let decoded = wire::ControlRequest::decode(message.as_slice());
+        let Some(req) = decoded.ok().and_then(|message| message.request) else {
+            log::warn!(step = "decode control request"; "request cannot be decoded");
+            continue;
+        };
+        let reply = handler.handle(req).await;
+        let buf = wire::ControlReply { reply: Some(reply) }.encode_to_vec();
+        let mut message = NngMessage::with_capacity(buf.len());
+        if message.write_all(&buf).is_err() {
+            continue;
+        }
+        if let Err((_, e, _)) = responder.reply(message).await {
+            log::debug!(step = "send control reply"; "{e}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/cactusbarrow_net/src/lib.rs
@@ -0,0 +1,24 @@
+//! Transport shared by every process: HTTP servers and clients, and control messages.
+//!
+//! [`serve`] and [`HttpClient`] carry requests and streams by hyper;
+//! [`ControlServer`] and [`ControlClient`] carry control messages by nng.
+
+#![warn(missing_docs)]
+
+mod body;
+mod clock;
+mod control_client;
+mod control_server;
+mod error;
+mod http_client;
+mod server;
+mod sse;
+
+pub use body::{Body, BodyError, BodySender, collect_limited};
+pub use clock::{Clock, SystemClock, unix_seconds};
+pub use control_client::ControlClient;
+pub use control_server::{ControlHandler, ControlServer};
+pub use error::NetError;
+pub use http_client::{HttpClient, HttpVersion};
+pub use server::{PeerAddr, ServeConfig, serve};
+pub use sse::{SseDecoder, SseError, SseEvent};
--- /dev/null
+++ b/crates/cactusbarrow_net/src/server.rs
@@ -0,0 +1,119 @@
+//! HTTP server: accepts connections until it is told to stop, then drains them.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::conn::auto::Builder;
+use hyper_util::server::graceful::GracefulShutdown;
+use hyper_util::service::TowerToHyperService;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+use tower::{Service, ServiceBuilder};
+
+use crate::Body;
+
+/// Wait after a failed accept, for instance when file handles run out.
+const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+
+/// Address of the peer that sent a request; an extension of each request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PeerAddr(pub SocketAddr);
+
+/// Tuning of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ServeConfig {
+    /// Longest time for a peer to send the head of a request.
+    pub header_timeout: Duration,
+    /// Longest time that requests in flight get after the server is told to stop.
+    pub grace: Duration,
+}
+
+impl Default for ServeConfig {
+    fn default() -> Self {
+        Self {
+            header_timeout: Duration::from_secs(10),
+            grace: Duration::from_secs(30),
+        }
+    }
+}
+
+/// Serves until `shutdown`, then finishes the requests in flight within the grace.
+///
+/// Returns true if every connection ended within the grace.
+pub async fn serve<S>(
+    listener: TcpListener,
+    service: S,
+    cfg: ServeConfig,
+    shutdown: CancellationToken,
+) -> bool
+where
+    S: Service<Request<Incoming>, Response = Response<Body>, Error = Infallible>
+        + Clone
+        + Send
+        + 'static,
+    S::Future: Send,
+{
+    let graceful = GracefulShutdown::new();
+    loop {
+        let accepted = tokio::select! {
+            () = shutdown.cancelled() => break,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, peer)) => spawn_connection(stream, peer, service.clone(), cfg, &graceful),
+            Err(e) => {
+                log::warn!(step = "accept"; "cannot accept a connection: {e}");
+                tokio::time::sleep(ACCEPT_RETRY).await;
+            }
+        }
+    }
+    drop(listener);
+    tokio::time::timeout(cfg.grace, graceful.shutdown())
+        .await
+        .is_ok()
+}
+
+fn spawn_connection<S>(
+    stream: TcpStream,
+    peer: SocketAddr,
+    service: S,
+    cfg: ServeConfig,
+    graceful: &GracefulShutdown,
+) where
+    S: Service<Request<Incoming>, Response = Response<Body>, Error = Infallible>
+        + Clone
+        + Send
+        + 'static,
+    S::Future: Send,
+{
+    // Tokens are small and must not wait for one another.
+    let _ = stream.set_nodelay(true);
+    let service = ServiceBuilder::new()
+        .map_request(move |mut req: Request<Incoming>| {
+            req.extensions_mut().insert(PeerAddr(peer));
+            req
+        })
+        .service(service);
+    let mut builder = Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(cfg.header_timeout);
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_concurrent_streams(4_096);
+    let conn = builder
+        .serve_connection(TokioIo::new(stream), TowerToHyperService::new(service))
+        .into_owned();
+    let conn = graceful.watch(conn);
+    tokio::spawn(async move {
+        if let Err(e) = conn.await {
+            log::debug!(step = "serve", peer:% = peer; "connection ended: {e}");
+        }
+    });
+}
--- /dev/null
+++ b/crates/cactusbarrow_platform/src/commit.rs
@@ -0,0 +1,213 @@
+//! Acceptance of changes: one swap of the root, retried until its fate is known.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::Duration;
+
+use cactusbarrow_policy::Revision;
+
+use crate::layout::{ROOT_KEY, Receipt, Root, RootError, Shard};
+use crate::plan::{CommitRequest, Plan, PlanError, plan_commit};
+use crate::store::{Store, StoreError};
+
+/// Tries to settle a change whose swap lost a race or its answer.
+const MAX_TRIES: u32 = 40;
+const RETRY_WAIT: Duration = Duration::from_millis(50);
+
+/// A change that is in force.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Committed {
+    /// The revision that the change led to.
+    pub revision: Revision,
+    /// Whether an earlier try of the same operation had been accepted.
+    pub is_replay: bool,
+    /// Whether anything changed.
+    pub is_change: bool,
+}
+
+/// Why a change is not known to be in force.
+#[derive(Debug)]
+pub enum CommitError {
+    /// The change is not accepted, and nothing was changed.
+    Refused(PlanError),
+    /// The store does not answer; nothing was changed.
+    NotChanged(StoreError),
+    /// The change may be in force; ask for the operation later.
+    Uncertain(StoreError),
+    /// The stored configuration cannot be read.
+    Unreadable(RootError),
+}
+
+impl fmt::Display for CommitError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Refused(e) => e.fmt(f),
+            Self::NotChanged(e) => write!(f, "nothing was changed: {e}"),
+            Self::Uncertain(e) => write!(f, "the change may be in force: {e}"),
+            Self::Unreadable(e) => e.fmt(f),
+        }
+    }
+}
+
+impl std::error::Error for CommitError {}
+
+impl From<RootError> for CommitError {
+    fn from(e: RootError) -> Self {
+        Self::Unreadable(e)
+    }
+}
+
+/// The configuration as read from the store.
+#[derive(Clone, Debug, Default)]
+pub struct Configuration {
+    /// The root.
+    pub root: Root,
+    /// Store index of the root; 0 if there is none yet.
+    pub index: u64,
+    /// The shards by name.
+    pub shards: BTreeMap<String, Shard>,
+}
+
+/// Reads the whole configuration.
+pub async fn load_configuration<S: Store>(store: &S) -> Result<Configuration, CommitError> {
+    let mut last = None;
+    for _ in 0..MAX_TRIES {
+        let Some(stored) = store.get(ROOT_KEY).await.map_err(CommitError::NotChanged)? else {
+            return Ok(Configuration::default());
+        };
+        let root = Root::decode(&stored.value)?;
+        let mut shards = BTreeMap::new();
+        for (name, shard) in &root.shards {
+            match store
+                .get(&shard.key)
+                .await
+                .map_err(CommitError::NotChanged)?
+            {
+                Some(value) => {
+                    shards.insert(name.clone(), Shard::decode(&shard.key, &value.value)?);
+                }
+                None => break,
+            }
+        }
+        if shards.len() == root.shards.len() {
+            return Ok(Configuration {
+                root,
+                index: stored.index,
+                shards,
+            });
+        }
+        // A shard was replaced and deleted while we read: the root has moved on.
+        last = Some(root.revision);
+    }
+    Err(CommitError::Unreadable(RootError {
+        key: ROOT_KEY.to_owned(),
+        message: format!("shards of revision {last:?} are missing"),
+    }))
+}
+
+/// Returns the receipt of an operation, if it was accepted and is still held.
+pub async fn find_operation<S: Store>(
+    store: &S,
+    operation: &str,
+) -> Result<Option<Receipt>, CommitError> {
+    let stored = store.get(ROOT_KEY).await.map_err(CommitError::NotChanged)?;
+    let Some(stored) = stored else {
+        return Ok(None);
+    };
+    Ok(Root::decode(&stored.value)?.receipt(operation).cloned())
+}
+
+/// Brings a change into force, or says why it is not.
+///
+/// A swap that lost its answer is settled by reading the root back: either it
+/// holds the operation's receipt, or the root's index shows what became of it.
+pub async fn commit<S: Store>(store: &S, req: &CommitRequest) -> Result<Committed, CommitError> {
+    let mut uncertain: Option<StoreError> = None;
+    for _ in 0..MAX_TRIES {
+        let configuration = match load_configuration(store).await {
+            Ok(configuration) => configuration,
+            Err(CommitError::NotChanged(e)) if uncertain.is_some() => {
+                uncertain = Some(e);
+                tokio::time::sleep(RETRY_WAIT).await;
+                continue;
+            }
+            Err(e) => return Err(e),
+        };
+        let plan = plan_commit(&configuration.root, &configuration.shards, req);
+        match plan.map_err(CommitError::Refused)? {
+            Plan::Replayed(receipt) => {
+                return Ok(Committed {
+                    revision: Revision(receipt.revision),
+                    is_replay: uncertain.is_none(),
+                    is_change: true,
+                });
+            }
+            Plan::Unchanged(revision) => {
+                return Ok(Committed {
+                    revision,
+                    is_replay: false,
+                    is_change: false,
+                });
+            }
+            Plan::Write {
+                shards,
+                root,
+                garbage,
+            } => match write(store, &configuration, shards, &root).await {
+                Ok(true) => {
+                    collect(store, garbage).await;
+                    return Ok(Committed {
+                        revision: root.revision(),
+                        is_replay: false,
+                        is_change: true,
+                    });
+                }
+                Ok(false) => {}
+                Err(WriteError::Shard(e)) if uncertain.is_none() => {
+                    return Err(CommitError::NotChanged(e));
+                }
+                Err(WriteError::Shard(e) | WriteError::Root(e)) => {
+                    uncertain = Some(e);
+                    tokio::time::sleep(RETRY_WAIT).await;
+                }
+            },
+        }
+    }
+    Err(CommitError::Uncertain(uncertain.unwrap_or(StoreError {
+        step: "swap",
+        key: ROOT_KEY.to_owned(),
+        peer: String::new(),
+        message: "lost every race".to_owned(),
+    })))
+}
+
+enum WriteError {
+    Shard(StoreError),
+    Root(StoreError),
+}
+
+async fn write<S: Store>(
+    store: &S,
+    configuration: &Configuration,
+    shards: Vec<(String, Vec<u8>)>,
+    root: &Root,
+) -> Result<bool, WriteError> {
+    for (key, value) in shards {
+        store
+            .put(&key, value.into())
+            .await
+            .map_err(WriteError::Shard)?;
+    }
+    store
+        .compare_and_swap(ROOT_KEY, root.encode().into(), configuration.index)
+        .await
+        .map_err(WriteError::Root)
+}
+
+async fn collect<S: Store>(store: &S, garbage: Vec<String>) {
+    for key in garbage {
+        if let Err(e) = store.delete(&key).await {
+            log::debug!(step = "delete old shard"; "{e}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/cactusbarrow_platform/src/config_reader.rs
@@ -0,0 +1,144 @@
+//! Reading of the configuration by a process that watches the store.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::Duration;
+
+use cactusbarrow_policy::{Change, Delta, Revision};
+
+use crate::layout::{ROOT_KEY, Root, RootError, Shard};
+use crate::store::{Store, StoreError};
+
+/// Why the configuration was not read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ReadError {
+    /// The store does not answer.
+    Store(StoreError),
+    /// A stored value cannot be read.
+    Value(RootError),
+    /// A shard was replaced while it was read; read again.
+    Moved(String),
+}
+
+impl fmt::Display for ReadError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Store(e) => e.fmt(f),
+            Self::Value(e) => e.fmt(f),
+            Self::Moved(key) => write!(f, "shard {key} was replaced while it was read"),
+        }
+    }
+}
+
+impl std::error::Error for ReadError {}
+
+#[derive(Clone, Debug, Default)]
+struct KnownShard {
+    key: String,
+    objects: BTreeMap<String, u64>,
+}
+
+/// Reads the changes of the configuration, shard by shard.
+#[derive(Clone, Debug, Default)]
+pub struct ConfigReader {
+    index: u64,
+    revision: Revision,
+    shards: BTreeMap<String, KnownShard>,
+}
+
+impl ConfigReader {
+    /// Creates a reader that has read nothing.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns true once a root has been read.
+    pub fn has_read(&self) -> bool {
+        self.index != 0
+    }
+
+    /// Waits for the root to change and returns what changed.
+    ///
+    /// Returns `None` if nothing changed within `wait`, or nothing was ever accepted.
+    pub async fn next<S: Store>(
+        &mut self,
+        store: &S,
+        wait: Duration,
+    ) -> Result<Option<Delta>, ReadError> {
+        let stored = if self.index == 0 {
+            store.get(ROOT_KEY).await
+        } else {
+            store.watch(ROOT_KEY, self.index, wait).await
+        };
+        let Some(stored) = stored.map_err(ReadError::Store)? else {
+            return Ok(None);
+        };
+        let root = Root::decode(&stored.value).map_err(ReadError::Value)?;
+        if root.revision() <= self.revision {
+            self.index = stored.index;
+            return Ok(None);
+        }
+        let (shards, changes) = self.read_shards(store, &root).await?;
+        let delta = Delta {
+            from: self.revision,
+            to: root.revision(),
+            changes,
+            digest: root.digest(),
+        };
+        self.index = stored.index;
+        self.revision = root.revision();
+        self.shards.extend(shards);
+        Ok(Some(delta))
+    }
+
+    async fn read_shards<S: Store>(
+        &self,
+        store: &S,
+        root: &Root,
+    ) -> Result<(BTreeMap<String, KnownShard>, Vec<Change>), ReadError> {
+        let mut shards = BTreeMap::new();
+        let mut changes = Vec::new();
+        for (name, shard_ref) in &root.shards {
+            let known = self.shards.get(name);
+            if known.is_some_and(|known| known.key == shard_ref.key) {
+                continue;
+            }
+            let stored = store.get(&shard_ref.key).await.map_err(ReadError::Store)?;
+            let Some(stored) = stored else {
+                return Err(ReadError::Moved(shard_ref.key.clone()));
+            };
+            let shard = Shard::decode(&shard_ref.key, &stored.value).map_err(ReadError::Value)?;
+            compare(known, &shard, root.revision(), &mut changes);
+            let objects = shard
+                .objects
+                .iter()
+                .map(|(key, stored)| (key.clone(), stored.revision))
+                .collect();
+            let key = shard_ref.key.clone();
+            shards.insert(name.clone(), KnownShard { key, objects });
+        }
+        changes.sort_by(|a, b| (a.revision, &a.key).cmp(&(b.revision, &b.key)));
+        Ok((shards, changes))
+    }
+}
+
+fn compare(known: Option<&KnownShard>, shard: &Shard, at: Revision, changes: &mut Vec<Change>) {
+    let known = known.map(|known| &known.objects);
+    for (key, stored) in &shard.objects {
+        if known.and_then(|known| known.get(key)) != Some(&stored.revision) {
+            changes.push(Change {
+                key: key.as_str().into(),
+                value: Some(stored.object.to_json().into()),
+                revision: Revision(stored.revision),
+            });
+        }
+    }
+    let gone = known.into_iter().flatten();
+    for (key, _) in gone.filter(|(key, _)| !shard.objects.contains_key(*key)) {
+        changes.push(Change {
+            key: key.as_str().into(),
+            value: None,
+            revision: at,
+        });
+    }
+}
--- /dev/null
+++ b/crates/cactusbarrow_platform/src/lib.rs
@@ -0,0 +1,30 @@
+//! The platform's services as the system uses them.
+//!
+//! [`Store`] is the key-value service with compare-and-swap and watches;
+//! [`ConsulStore`] speaks its published HTTP protocol. [`ConfigReader`] and
+//! [`commit`] keep the operators' configuration in it, and [`HostList`] is the
+//! platform's list of live and leaving hosts.
+
+#![warn(missing_docs)]
+
+mod claim_keys;
+mod commit;
+mod config_reader;
+mod consul;
+mod host_list;
+mod layout;
+mod plan;
+mod store;
+
+pub use claim_keys::{CLAIM_SHARDS, claim_head_key, claim_segment_key, claim_shard_of};
+pub use commit::{
+    CommitError, Committed, Configuration, commit, find_operation, load_configuration,
+};
+pub use config_reader::{ConfigReader, ReadError};
+pub use consul::ConsulStore;
+pub use host_list::{Host, HostList, HostRole, HostState};
+pub use layout::{
+    Deletion, ROOT_KEY, Receipt, Root, RootError, Shard, ShardRef, StoredObject, shard_of,
+};
+pub use plan::{CommitRequest, Edit, Moved, Plan, PlanError, plan_commit};
+pub use store::{Store, StoreError, Versioned};
--- /dev/null
+++ b/crates/cactusbarrow_platform/src/plan.rs
@@ -0,0 +1,310 @@
+//! The pure part of a change: what a commit would write, or why it may not.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+
+use cactusbarrow_document::{Fault, Object, ObjectKey, validate};
+use cactusbarrow_policy::{Digest, Revision, stable_hash};
+
+use crate::layout::{Deletion, Receipt, Root, Shard, ShardRef, StoredObject, shard_of};
+
+const MAX_RECEIPTS: usize = 256;
+const MAX_DELETIONS: usize = 256;
+const MAX_RETIRED: usize = 32;
+/// Largest value that the store holds, less a margin.
+const MAX_VALUE_BYTES: usize = 1_000_000;
+
+/// One edit of a change.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Edit {
+    /// Create or replace an object.
+    Set(Object),
+    /// Delete an object.
+    Delete(ObjectKey),
+}
+
+impl Edit {
+    /// Returns the key of the object it touches.
+    pub fn key(&self) -> ObjectKey {
+        match self {
+            Self::Set(object) => object.key(),
+            Self::Delete(key) => key.clone(),
+        }
+    }
+}
+
+/// A change that asks to be accepted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CommitRequest {
+    /// Names the operation; a retry uses the same name.
+    pub operation: String,
+    /// The revision that the operator saw; the objects touched must not have moved since.
+    pub base: Revision,
+    /// The edits.
+    pub edits: Vec<Edit>,
+}
+
+impl CommitRequest {
+    /// Returns a hash of what is asked for.
+    pub fn request_hash(&self) -> u64 {
+        let text = self.edits.iter().fold(String::new(), |text, edit| {
+            let value = match edit {
+                Edit::Set(object) => object.to_json(),
+                Edit::Delete(key) => format!("delete {key}"),
+            };
+            text + &value + "\n"
+        });
+        stable_hash(text.as_bytes())
+    }
+}
+
+/// An object that someone else changed since the base revision.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Moved {
+    /// Key of the object.
+    pub object: String,
+    /// The revision that changed it.
+    pub revision: u64,
+}
+
+/// Why a change is not accepted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PlanError {
+    /// The configuration would have faults.
+    Invalid(Vec<Fault>),
+    /// Objects that the change touches have moved since its base.
+    Conflict {
+        /// The revision now in force.
+        revision: Revision,
+        /// What moved.
+        moved: Vec<Moved>,
+    },
+    /// The operation's name was used for another change.
+    OperationReused {
+        /// The revision that the other change led to.
+        revision: Revision,
+    },
+    /// The base is higher than the revision in force.
+    BaseFromFuture {
+        /// The revision now in force.
+        revision: Revision,
+    },
+    /// A shard would exceed the store's largest value.
+    TooLarge {
+        /// The shard.
+        shard: String,
+    },
+}
+
+impl fmt::Display for PlanError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Invalid(faults) => {
+                writeln!(f, "the configuration would have {} faults:", faults.len())?;
+                faults.iter().try_for_each(|fault| writeln!(f, "  {fault}"))
+            }
+            Self::Conflict { revision, moved } => {
+                write!(f, "conflict at revision {revision}:")?;
+                moved
+                    .iter()
+                    .try_for_each(|m| write!(f, " {} moved at {};", m.object, m.revision))
+            }
+            Self::OperationReused { revision } => {
+                write!(
+                    f,
+                    "operation was used for another change, revision {revision}"
+                )
+            }
+            Self::BaseFromFuture { revision } => {
+                write!(
+                    f,
+                    "base revision does not exist yet; {revision} is in force"
+                )
+            }
+            Self::TooLarge { shard } => write!(f, "shard {shard} would be too large"),
+        }
+    }
+}
+
+impl std::error::Error for PlanError {}
+
+/// What a commit writes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Plan {
+    /// The operation was accepted before.
+    Replayed(Receipt),
+    /// The configuration is already as asked.
+    Unchanged(Revision),
+    /// New shards, then the root that names them.
+    Write {
+        /// Store keys and values of the new shards.
+        shards: Vec<(String, Vec<u8>)>,
+        /// The new root.
+        root: Box<Root>,
+        /// Store keys that no reader needs any more.
+        garbage: Vec<String>,
+    },
+}
+
+/// Plans a change against the configuration in force.
+pub fn plan_commit(
+    root: &Root,
+    shards: &BTreeMap<String, Shard>,
+    req: &CommitRequest,
+) -> Result<Plan, PlanError> {
+    let request_hash = req.request_hash();
+    if let Some(receipt) = root.receipt(&req.operation) {
+        let revision = Revision(receipt.revision);
+        return if receipt.request_hash == request_hash {
+            Ok(Plan::Replayed(receipt.clone()))
+        } else {
+            Err(PlanError::OperationReused { revision })
+        };
+    }
+    if req.base > root.revision() {
+        let revision = root.revision();
+        return Err(PlanError::BaseFromFuture { revision });
+    }
+    check_moved(root, shards, req)?;
+    let mut next = Next::new(root, shards);
+    for edit in &req.edits {
+        next.apply(edit);
+    }
+    if next.touched.is_empty() {
+        return Ok(Plan::Unchanged(root.revision()));
+    }
+    let faults = validate(next.objects());
+    if !faults.is_empty() {
+        return Err(PlanError::Invalid(faults));
+    }
+    next.root.receipts.push(Receipt {
+        operation: req.operation.clone(),
+        request_hash,
+        revision: next.root.revision,
+    });
+    next.finish(&req.operation)
+}
+
+fn check_moved(
+    root: &Root,
+    shards: &BTreeMap<String, Shard>,
+    req: &CommitRequest,
+) -> Result<(), PlanError> {
+    let moved: Vec<Moved> = req
+        .edits
+        .iter()
+        .filter_map(|edit| {
+            let key = edit.key();
+            let object = key.to_string();
+            let stored = shards.get(&shard_of(&key));
+            let set = stored.and_then(|shard| Some(shard.objects.get(&object)?.revision));
+            let deleted = root.deletions.iter().rev().find(|d| d.object == object);
+            let revision = set.max(deleted.map(|d| d.revision))?;
+            (revision > req.base.0).then_some(Moved { object, revision })
+        })
+        .collect();
+    if moved.is_empty() {
+        return Ok(());
+    }
+    Err(PlanError::Conflict {
+        revision: root.revision(),
+        moved,
+    })
+}
+
+struct Next {
+    root: Root,
+    shards: BTreeMap<String, Shard>,
+    touched: BTreeSet<String>,
+}
+
+impl Next {
+    fn new(root: &Root, shards: &BTreeMap<String, Shard>) -> Self {
+        let mut root = root.clone();
+        root.revision += 1;
+        Self {
+            root,
+            shards: shards.clone(),
+            touched: BTreeSet::new(),
+        }
+    }
+
+    fn objects(&self) -> impl Iterator<Item = &Object> {
+        self.shards
+            .values()
+            .flat_map(|shard| shard.objects.values().map(|stored| &stored.object))
+    }
+
+    fn apply(&mut self, edit: &Edit) {
+        let key = edit.key();
+        let name = key.to_string();
+        let shard_name = shard_of(&key);
+        let revision = self.root.revision;
+        let shard = self.shards.entry(shard_name.clone()).or_default();
+        let old = shard.objects.get(&name);
+        let old_revision = old.map(|stored| stored.revision);
+        match edit {
+            Edit::Set(object) if old.is_some_and(|stored| stored.object == *object) => return,
+            Edit::Delete(_) if old.is_none() => return,
+            Edit::Set(object) => {
+                self.toggle(&name, revision);
+                let object = object.clone();
+                let stored = StoredObject { revision, object };
+                let shard = self.shards.entry(shard_name.clone()).or_default();
+                shard.objects.insert(name.clone(), stored);
+            }
+            Edit::Delete(_) => {
+                shard.objects.remove(&name);
+                self.root.deletions.push(Deletion {
+                    object: name.clone(),
+                    revision,
+                });
+            }
+        }
+        if let Some(old) = old_revision {
+            self.toggle(&name, old);
+        }
+        self.touched.insert(shard_name);
+    }
+
+    fn toggle(&mut self, name: &str, revision: u64) {
+        self.root.digest = Digest(self.root.digest).toggle(name, Revision(revision)).0;
+    }
+
+    fn finish(mut self, operation: &str) -> Result<Plan, PlanError> {
+        let mut written = Vec::new();
+        for name in &self.touched {
+            let shard = &self.shards[name];
+            let value = shard.encode();
+            if value.len() > MAX_VALUE_BYTES {
+                return Err(PlanError::TooLarge {
+                    shard: name.clone(),
+                });
+            }
+            let key = format!(
+                "cactusbarrow/shards/{name}/{}-{operation}",
+                self.root.revision
+            );
+            let old = self
+                .root
+                .shards
+                .insert(name.clone(), ShardRef { key: key.clone() });
+            self.root.retired.extend(old.map(|old| old.key));
+            written.push((key, value));
+        }
+        keep_last(&mut self.root.receipts, MAX_RECEIPTS);
+        keep_last(&mut self.root.deletions, MAX_DELETIONS);
+        let garbage = keep_last(&mut self.root.retired, MAX_RETIRED);
+        Ok(Plan::Write {
+            shards: written,
+            root: Box::new(self.root),
+            garbage,
+        })
+    }
+}
+
+/// Keeps the last `count` items and returns the others.
+fn keep_last<T>(items: &mut Vec<T>, count: usize) -> Vec<T> {
+    let excess = items.len().saturating_sub(count);
+    items.drain(..excess).collect()
+}
--- /dev/null
+++ b/crates/cactusbarrow_policy/src/lib.rs
@@ -0,0 +1,45 @@
+//! Every decision of the router and the agent, as pure state machines.
+//!
+//! Each module takes typed events, the time and, where it needs one, a random
+//! source, and returns typed actions. Nothing here performs I/O, starts a task
+//! or reads a clock, so a test or an experiment drives the code that runs in
+//! production.
+
+#![warn(missing_docs)]
+
+mod adoption;
+mod choose;
+mod claims;
+mod gate;
+mod generation;
+mod hash;
+mod ids;
+mod limits;
+mod orders;
+mod outcome;
+mod retry;
+mod subset;
+mod suspicion;
+mod text;
+mod tokens;
+
+pub use adoption::{Adoption, Change, ChangeLog, Delta, DeltaError, Digest};
+pub use choose::{BackendLoad, Candidate, ChooseConfig, LoadTable};
+pub use claims::{
+    ClaimAction, ClaimConfig, ClaimEntry, ClaimEvent, ClaimPage, ClaimPageError, ClaimRequest,
+    ClaimShard, ClaimVerdict, EntryState,
+};
+pub use gate::{DrainCause, Gate, GateConfig, Permit, Work};
+pub use generation::{
+    Action, AttemptEnd, EndReason, Event, Favor, Generation, GenerationConfig, GenerationStats,
+};
+pub use hash::{mix, rendezvous_order, rendezvous_weight, stable_hash};
+pub use ids::{AttemptNumber, ClaimNonce, GenerationId, KeyHash, Revision};
+pub use limits::{CustomerLimits, CustomerTable, LimitRefusal};
+pub use orders::{EngineOrders, LoadOrder, OrderConfig};
+pub use outcome::{Outcome, Reason};
+pub use retry::{Backoff, RetryBudget};
+pub use subset::{Member, SubsetConfig, select_subset};
+pub use suspicion::{Suspicion, SuspicionConfig};
+pub use text::Utf8Assembler;
+pub use tokens::TokenBuffer;
--- /dev/null
+++ b/crates/cactusbarrow_policy/src/suspicion.rs
@@ -0,0 +1,91 @@
+//! Decides when an attempt that has gone quiet is suspected.
+
+use std::time::Duration;
+
+/// Weight of the newest gap in the moving averages.
+const GAP_WEIGHT: f64 = 0.1;
+
+/// Tuning of [`Suspicion`].
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SuspicionConfig {
+    /// Shortest gap between tokens that is ever suspected.
+    pub floor: Duration,
+    /// Longest gap between tokens that is tolerated while decoding.
+    pub ceiling: Duration,
+    /// Number of mean deviations above the mean gap that are tolerated.
+    pub deviations: f64,
+    /// Longest silence of the agent that is tolerated.
+    pub agent_silence: Duration,
+    /// Longest wait for the first token while the agent reports a live engine.
+    pub first_token: Duration,
+}
+
+impl SuspicionConfig {
+    /// Returns the defaults for services that favor resume latency.
+    pub const fn favor_latency() -> Self {
+        Self {
+            floor: Duration::from_millis(300),
+            ceiling: Duration::from_millis(1_000),
+            deviations: 6.0,
+            agent_silence: Duration::from_millis(700),
+            first_token: Duration::from_secs(5),
+        }
+    }
+
+    /// Returns the defaults for services that favor low resource use.
+    pub const fn favor_resources() -> Self {
+        Self {
+            floor: Duration::from_millis(800),
+            ceiling: Duration::from_millis(1_500),
+            deviations: 12.0,
+            agent_silence: Duration::from_millis(1_200),
+            first_token: Duration::from_secs(15),
+        }
+    }
+}
+
+/// Learns the pace of one attempt and tells how long a gap is tolerated.
+#[derive(Clone, Debug)]
+pub struct Suspicion {
+    cfg: SuspicionConfig,
+    mean: Option<f64>,
+    deviation: f64,
+}
+
+impl Suspicion {
+    /// Creates an estimator that has seen no gap.
+    pub fn new(cfg: SuspicionConfig) -> Self {
+        Self {
+            cfg,
+            mean: None,
+            deviation: 0.0,
+        }
+    }
+
+    /// Records the gap between two arrivals of tokens.
+    pub fn record_gap(&mut self, gap: Duration) {
+        let gap = gap.as_secs_f64();
+        let mean = *self.mean.get_or_insert(gap);
+        self.deviation += GAP_WEIGHT * ((gap - mean).abs() - self.deviation);
+        self.mean = Some(mean + GAP_WEIGHT * (gap - mean));
+    }
+
+    /// Returns the longest gap between tokens that is tolerated.
+    pub fn token_timeout(&self) -> Duration {
+        let Some(mean) = self.mean else {
+            return self.cfg.ceiling;
+        };
+        let tolerated = mean + self.cfg.deviations * self.deviation.max(mean * 0.25);
+        Duration::from_secs_f64(tolerated).clamp(self.cfg.floor, self.cfg.ceiling)
+    }
+
+    /// Returns the longest silence of the agent that is tolerated.
+    pub fn agent_timeout(&self) -> Duration {
+        self.cfg.agent_silence
+    }
+
+    /// Returns the longest wait for the first token while the engine is reported alive.
+    pub fn first_token_timeout(&self) -> Duration {
+        self.cfg.first_token
+    }
+}
--- /dev/null
+++ b/crates/cactusbarrow_protocol/src/lib.rs
@@ -0,0 +1,22 @@
+//! Messages between the system's own processes.
+//!
+//! The messages are generated from `proto/` and committed; a test keeps them
+//! current. Streams of frames travel over HTTP/2, each frame behind its length;
+//! control messages travel over nng request and reply sockets.
+
+#![warn(missing_docs)]
+
+mod convert;
+mod frames;
+mod headers;
+
+/// Types generated from `proto/cactusbarrow.proto`; see there for their meaning.
+#[allow(missing_docs, clippy::all, clippy::pedantic, unreachable_pub)]
+#[rustfmt::skip]
+pub mod generated {
+    include!("generated/cactusbarrow.rs");
+}
+
+pub use convert::{delta_from_wire, delta_to_wire, run_from_buffer, run_to_buffer};
+pub use frames::{FrameDecoder, FrameError, MAX_FRAME_BYTES, encode_frame};
+pub use headers::*;
--- /dev/null
+++ b/crates/cactusbarrow_router/src/calls.rs
@@ -0,0 +1,365 @@
+//! Calls to plain services.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use cactusbarrow_document::{Customer, Fleet, Service};
+use cactusbarrow_net::{Body, Clock, NetError};
+use cactusbarrow_platform::{HostList, Store};
+use cactusbarrow_policy::{
+    Backoff, ClaimNonce, ClaimRequest, ClaimVerdict, KeyHash, Outcome, Reason, stable_hash,
+};
+use cactusbarrow_protocol::generated::DirectoryEntry;
+use cactusbarrow_protocol::{
+    ANSWER_PATH, CALL_PATH, CLAIM_HEADER, FIRST_ATTEMPT_HEADER, KEY_HEADER, OUTCOME_HEADER,
+};
+use http::request::Parts;
+use http::{HeaderValue, Request, Response, StatusCode, header};
+use hyper::body::Incoming;
+
+use crate::attempt::reason_of;
+use crate::auth::CustomerPermit;
+use crate::members::MemberServer;
+use crate::refusal::Refusal;
+use crate::request::RequestKey;
+use crate::router::Router;
+
+const BACKOFF: Backoff = Backoff::new(Duration::from_millis(25), Duration::from_millis(400));
+/// Share of the caller's patience that one try of a repeatable call gets.
+const TRY_SHARE: f64 = 0.4;
+/// Longest body of a held answer, in bytes.
+const MAX_ANSWER_BYTES: usize = 8 << 20;
+
+/// A call of a known customer to a known service.
+struct ServiceCall<'a> {
+    service: &'a Service,
+    key: RequestKey,
+    parts: &'a Parts,
+    path: String,
+    body: Bytes,
+    arrived: Instant,
+    deadline: Instant,
+}
+
+/// How one try of a call ended.
+enum TryEnd {
+    /// The service answered.
+    Answered(Response<Incoming>),
+    /// The call was not started.
+    NotSent(Reason),
+    /// The call may have been run.
+    Unknown(Reason),
+}
+
+/// Answers a call to a plain service.
+pub(crate) async fn call<S: Store + HostList, C: Clock>(
+    router: &Arc<Router<S, C>>,
+    fleet: &Fleet,
+    customer: &Arc<Customer>,
+    parts: &Parts,
+    body: Bytes,
+    arrived: Instant,
+) -> Result<Response<Body>, Refusal> {
+    let key = RequestKey::from_headers(&parts.headers, &customer.name)?;
+    let outcome = key.outcome_if_not_sent();
+    let (service, path) = fleet
+        .service_by_path(parts.uri.path())
+        .filter(|(service, _)| customer.may_use(&service.name))
+        .ok_or_else(|| {
+            Refusal::new(outcome, Reason::NoSuchService, "find service")
+                .because(format!("no service serves {}", parts.uri.path()))
+        })?;
+    let is_repeatable = service.is_repeatable(parts.method.as_str(), path);
+    let query = parts
+        .uri
+        .query()
+        .map_or_else(String::new, |q| format!("?{q}"));
+    let _permit = CustomerPermit::admit(router, customer)
+        .map_err(|reason| Refusal::new(outcome, reason, "admit customer"))?;
+    let patience = Duration::from_secs(u64::from(service.caller_patience_seconds));
+    let call = ServiceCall {
+        service,
+        key,
+        parts,
+        path: format!("{path}{query}"),
+        body,
+        arrived,
+        deadline: arrived + patience,
+    };
+    if is_repeatable {
+        repeatable(router, &call).await
+    } else {
+        unrepeatable(router, &call).await
+    }
+}
+
+/// Tries a call until it is answered, while its caller is patient and the budget allows.
+async fn repeatable<S: Store + HostList, C: Clock>(
+    router: &Arc<Router<S, C>>,
+    call: &ServiceCall<'_>,
+) -> Result<Response<Body>, Refusal> {
+    router.record_request(&call.service.name);
+    let mut excluded = Vec::new();
+    let mut may_have_run = !call.key.is_fresh;
+    let mut retries = 0;
+    let mut last = Reason::NoBackend;
+    loop {
+        let left = call.deadline.saturating_duration_since(router.clock.now());
+        if left.is_zero() {
+            break;
+        }
+        let Some(server) = router.choose(&call.service.name, None, None, &excluded) else {
+            excluded.clear();
+            pause(retries).await;
+            retries += 1;
+            continue;
+        };
+        let patience = call.deadline - call.arrived;
+        let limit = left.min(patience.mul_f64(TRY_SHARE));
+        match send(router, call, &server, None, limit).await {
+            TryEnd::Answered(res) => return Ok(passed_on(res)),
+            TryEnd::NotSent(reason) => last = reason,
+            TryEnd::Unknown(reason) => {
+                may_have_run = true;
+                last = reason;
+                if !router.try_retry(&call.service.name, reason) {
+                    last = Reason::RetryBudget;
+                    break;
+                }
+            }
+        }
+        excluded.push(server.name().to_owned());
+        pause(retries).await;
+        retries += 1;
+    }
+    let outcome = if may_have_run {
+        Outcome::Unknown
+    } else {
+        Outcome::NotRun
+    };
+    Err(Refusal::new(outcome, last, "call service"))
+}
+
+/// Claims a call, then sends it at most once.
+async fn unrepeatable<S: Store + HostList, C: Clock>(
+    router: &Arc<Router<S, C>>,
+    call: &ServiceCall<'_>,
+) -> Result<Response<Body>, Refusal> {
+    let claim = ClaimRequest {
+        key: call.key.key.unwrap_or_else(|| KeyHash(rand::random())),
+        nonce: ClaimNonce(rand::random()),
+        body_hash: hash_call(call),
+        deadline: call.deadline.min(call.arrived + router.cfg.claim_deadline),
+    };
+    let refuse = |outcome, reason| Err(Refusal::new(outcome, reason, "claim call"));
+    match router.claim(claim).await {
+        ClaimVerdict::Granted => send_claimed(router, call, claim).await,
+        ClaimVerdict::Held => held_answer(router, call, claim.key).await,
+        ClaimVerdict::Conflict => refuse(Outcome::Failed, Reason::KeyConflict),
+        ClaimVerdict::Unavailable => {
+            // The claim may have been written without an answer; it must not bar a retry.
+            router.release(&claim);
+            refuse(call.key.outcome_if_not_sent(), Reason::StoreUnavailable)
+        }
+        ClaimVerdict::Expired => {
+            router.release(&claim);
+            refuse(call.key.outcome_if_not_sent(), Reason::Expired)
+        }
+    }
+}
+
+async fn send_claimed<S: Store + HostList, C: Clock>(
+    router: &Arc<Router<S, C>>,
+    call: &ServiceCall<'_>,
+    claim: ClaimRequest,
+) -> Result<Response<Body>, Refusal> {
+    let mut excluded = Vec::new();
+    let mut retries = 0;
+    let mut last = Reason::NoBackend;
+    while router.clock.now() < call.deadline {
+        let Some(server) = router.choose(&call.service.name, None, None, &excluded) else {
+            excluded.clear();
+            pause(retries).await;
+            retries += 1;
+            continue;
+        };
+        note_server(router, &claim, server.name());
+        let left = call.deadline.saturating_duration_since(router.clock.now());
+        match send(router, call, &server, Some(&claim), left).await {
+            TryEnd::Answered(res) => return Ok(passed_on(res)),
+            TryEnd::NotSent(reason) => {
+                last = reason;
+                metrics::counter!("cactusbarrow_retries_total", "reason" => reason.as_str())
+                    .increment(1);
+            }
+            TryEnd::Unknown(reason) => {
+                return Err(Refusal::new(Outcome::Unknown, reason, "call service")
+                    .at(server.agent())
+                    .because("the call may have been run; it will not be repeated"));
+            }
+        }
+        excluded.push(server.name().to_owned());
+        pause(retries).await;
+        retries += 1;
+    }
+    // Every agent refused it, and the claim kept everyone else from running it.
+    router.release(&claim);
+    Err(Refusal::new(Outcome::NotRun, last, "call service"))
+}
+
+/// Gives the answer of the call that was run under the key, if it is still held.
+async fn held_answer<S: Store + HostList, C: Clock>(
+    router: &Arc<Router<S, C>>,
+    call: &ServiceCall<'_>,
+    key: KeyHash,
+) -> Result<Response<Body>, Refusal> {
+    let unknown = || {
+        Refusal::new(Outcome::Unknown, Reason::AlreadyClaimed, "find answer")
+            .because("an earlier call under this key may have been run; its answer is not held")
+    };
+    let entry = router.directory_get(key).await.ok_or_else(unknown)?;
+    let fleet = router.config.fleet();
+    let server = fleet
+        .backend_server(&entry.backend_server)
+        .ok_or_else(unknown)?;
+    let req = Request::get(format!("http://{}{ANSWER_PATH}{key}", server.agent_address))
+        .body(Body::Empty)
+        .map_err(|_| unknown())?;
+    let left = call.deadline.saturating_duration_since(router.clock.now());
+    let held = router
+        .agents
+        .send_whole("find answer", req, left, MAX_ANSWER_BYTES)
+        .await;
+    match held {
+        Ok(res) if !res.headers().contains_key(OUTCOME_HEADER) => Ok(res.map(Body::full)),
+        _ => Err(unknown().at(server.agent_address)),
+    }
+}
+
+async fn send<S: Store + HostList, C: Clock>(
+    router: &Arc<Router<S, C>>,
+    call: &ServiceCall<'_>,
+    server: &MemberServer,
+    claim: Option<&ClaimRequest>,
+    limit: Duration,
+) -> TryEnd {
+    let Ok(req) = agent_request(call, server, claim) else {
+        return TryEnd::NotSent(Reason::BadRequest);
+    };
+    router.load().record_start(server.name());
+    let exchange = router.agents.send("call service", req);
+    let result = tokio::time::timeout(limit, exchange).await;
+    router.load().record_end(server.name());
+    let end = end_of(result);
+    let now = router.clock.now();
+    match &end {
+        TryEnd::Answered(_) => {}
+        TryEnd::NotSent(Reason::Draining) => router.load().record_draining(server.name()),
+        TryEnd::NotSent(Reason::BackendFull) => {}
+        TryEnd::NotSent(_) | TryEnd::Unknown(_) => {
+            router.load().record_failure(server.name(), now);
+        }
+    }
+    end
+}
+
+fn end_of(
+    result: Result<Result<Response<Incoming>, NetError>, tokio::time::error::Elapsed>,
+) -> TryEnd {
+    match result {
+        Err(_) => TryEnd::Unknown(Reason::Stalled),
+        Ok(Err(e)) if e.is_connect => TryEnd::NotSent(Reason::AgentUnreachable),
+        Ok(Err(e)) => {
+            log::info!(step = e.step, peer = e.peer; "{e}");
+            TryEnd::Unknown(Reason::AgentLost)
+        }
+        Ok(Ok(res)) => match res.headers().get(OUTCOME_HEADER) {
+            None => TryEnd::Answered(res),
+            Some(outcome) if outcome == Outcome::NotRun.as_str() => {
+                TryEnd::NotSent(reason_of(&res))
+            }
+            Some(_) => TryEnd::Unknown(reason_of(&res)),
+        },
+    }
+}
+
+fn agent_request(
+    call: &ServiceCall<'_>,
+    server: &MemberServer,
+    claim: Option<&ClaimRequest>,
+) -> Result<Request<Body>, http::Error> {
+    let uri = format!("http://{}{CALL_PATH}{}", server.agent(), call.path);
+    let mut req = Request::builder()
+        .method(call.parts.method.clone())
+        .uri(uri)
+        .body(Body::full(call.body.clone()))?;
+    let headers = req.headers_mut();
+    *headers = call.parts.headers.clone();
+    for name in [
+        header::HOST,
+        header::AUTHORIZATION,
+        header::CONNECTION,
+        header::TRANSFER_ENCODING,
+        header::CONTENT_LENGTH,
+    ] {
+        headers.remove(name);
+    }
+    // Only this router may say under which claim a call is sent.
+    for name in [
+        CLAIM_HEADER,
+        KEY_HEADER,
+        OUTCOME_HEADER,
+        FIRST_ATTEMPT_HEADER,
+    ] {
+        headers.remove(name);
+    }
+    if let Some(claim) = claim {
+        let nonce = format!("{:016x}", claim.nonce.0);
+        headers.insert(CLAIM_HEADER, HeaderValue::try_from(nonce)?);
+        let key = claim.key.to_string();
+        headers.insert(KEY_HEADER, HeaderValue::try_from(key)?);
+    }
+    Ok(req)
+}
+
+/// Tells the directory where a claimed call is about to run, without waiting.
+fn note_server<S: Store + HostList, C: Clock>(
+    router: &Arc<Router<S, C>>,
+    claim: &ClaimRequest,
+    backend_server: &str,
+) {
+    let key = claim.key.to_bytes().to_vec();
+    let entry = DirectoryEntry {
+        key: key.clone().into(),
+        generation: key.into(),
+        backend_server: backend_server.to_owned(),
+        body_hash: claim.body_hash,
+        attempt: 0,
+    };
+    let router = router.clone();
+    router
+        .tasks
+        .clone()
+        .spawn(async move { router.directory_put(entry, false).await });
+}
+
+fn hash_call(call: &ServiceCall<'_>) -> u64 {
+    let head = format!("{} {}\n", call.parts.method, call.path);
+    stable_hash(&[head.as_bytes(), &call.body].concat())
+}
+
+fn passed_on(res: Response<Incoming>) -> Response<Body> {
+    let (mut parts, body) = res.into_parts();
+    parts.headers.remove(header::CONNECTION);
+    parts.headers.remove(header::TRANSFER_ENCODING);
+    if parts.status == StatusCode::NO_CONTENT {
+        return Response::from_parts(parts, Body::Empty);
+    }
+    Response::from_parts(parts, Body::Incoming(body))
+}
+
+async fn pause(retries: u32) {
+    let wait = BACKOFF.delay(retries, &mut rand::rng());
+    tokio::time::sleep(wait).await;
+}
--- /dev/null
+++ b/crates/cactusbarrow_router/src/claim_client.rs
@@ -0,0 +1,124 @@
+//! Claims of calls, sent to the router that owns the key's shard.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use cactusbarrow_net::Clock;
+use cactusbarrow_platform::{HostList, Store, claim_shard_of};
+use cactusbarrow_policy::{ClaimRequest, ClaimVerdict};
+use cactusbarrow_protocol::generated as wire;
+use wire::control_reply::Reply;
+use wire::control_request::Request;
+
+use crate::config::Peer;
+use crate::router::Router;
+
+/// Time that an owner's answer may take beyond the claim's deadline.
+const ANSWER_MARGIN: Duration = Duration::from_millis(200);
+const RELEASE_TIMEOUT: Duration = Duration::from_secs(1);
+
+impl<S: Store + HostList, C: Clock> Router<S, C> {
+    /// Claims a call, or refuses it once its deadline is over.
+    pub(crate) async fn claim(self: &Arc<Self>, req: ClaimRequest) -> ClaimVerdict {
+        let limit = req.deadline + ANSWER_MARGIN;
+        tokio::time::timeout_at(limit.into(), self.claim_anywhere(req))
+            .await
+            .unwrap_or(ClaimVerdict::Unavailable)
+    }
+
+    /// Claims a call through its owner, so that writes are grouped, or else from here.
+    async fn claim_anywhere(self: &Arc<Self>, req: ClaimRequest) -> ClaimVerdict {
+        let Some(owner) = self.claim_owner(&req) else {
+            return self.claim_here(req).await;
+        };
+        let remaining = req.deadline.saturating_duration_since(self.clock.now());
+        let claim = Request::Claim(wire::Claim {
+            key: req.key.to_bytes().to_vec().into(),
+            nonce: req.nonce.0,
+            body_hash: req.body_hash,
+            remaining_ms: remaining.as_millis() as u32,
+        });
+        let timeout = remaining / 2 + ANSWER_MARGIN;
+        match self.control.call(owner.control, claim, timeout).await {
+            Ok(Reply::Claim(reply)) => verdict_of(reply.outcome()),
+            Ok(_) => ClaimVerdict::Unavailable,
+            Err(e) => {
+                log::info!(step = "claim", peer = e.peer; "owner does not answer, claiming here: {e}");
+                // The nonce is the same, so a claim that the owner did write counts as ours.
+                self.claim_here(req).await
+            }
+        }
+    }
+
+    /// Releases a claim whose call was certainly not run, without waiting.
+    pub(crate) fn release(self: &Arc<Self>, req: &ClaimRequest) {
+        let (key, nonce) = (req.key, req.nonce);
+        let Some(owner) = self.claim_owner(req) else {
+            self.release_here(key, nonce);
+            return;
+        };
+        let release = Request::Release(wire::ReleaseClaim {
+            key: key.to_bytes().to_vec().into(),
+            nonce: nonce.0,
+        });
+        let router = self.clone();
+        self.tasks.spawn(async move {
+            let released = router
+                .control
+                .call(owner.control, release, RELEASE_TIMEOUT)
+                .await;
+            if released.is_err() {
+                router.release_here(key, nonce);
+            }
+        });
+    }
+
+    /// Returns the router that owns a key's shard; `None` if it is this one.
+    fn claim_owner(&self, req: &ClaimRequest) -> Option<Peer> {
+        let shard = claim_shard_of(req.key);
+        let owner = self.peers.owners(u64::from(shard)).into_iter().next()?;
+        (!self.peers.is_own(&owner)).then_some(owner)
+    }
+
+    /// Answers a claim that another router sent.
+    pub(crate) async fn claim_for_peer(self: &Arc<Self>, claim: wire::Claim) -> wire::ClaimReply {
+        let outcome = match request_of(&claim, self.clock.now()) {
+            Some(req) => outcome_of(self.claim_here(req).await),
+            None => wire::ClaimOutcome::Unavailable,
+        };
+        wire::ClaimReply {
+            outcome: outcome.into(),
+        }
+    }
+}
+
+fn request_of(claim: &wire::Claim, now: Instant) -> Option<ClaimRequest> {
+    Some(ClaimRequest {
+        key: cactusbarrow_policy::KeyHash::from_slice(&claim.key)?,
+        nonce: cactusbarrow_policy::ClaimNonce(claim.nonce),
+        body_hash: claim.body_hash,
+        deadline: now + Duration::from_millis(u64::from(claim.remaining_ms)),
+    })
+}
+
+fn verdict_of(outcome: wire::ClaimOutcome) -> ClaimVerdict {
+    match outcome {
+        wire::ClaimOutcome::Granted => ClaimVerdict::Granted,
+        wire::ClaimOutcome::Held => ClaimVerdict::Held,
+        wire::ClaimOutcome::Conflict => ClaimVerdict::Conflict,
+        wire::ClaimOutcome::Expired => ClaimVerdict::Expired,
+        wire::ClaimOutcome::Unavailable | wire::ClaimOutcome::Unspecified => {
+            ClaimVerdict::Unavailable
+        }
+    }
+}
+
+fn outcome_of(verdict: ClaimVerdict) -> wire::ClaimOutcome {
+    match verdict {
+        ClaimVerdict::Granted => wire::ClaimOutcome::Granted,
+        ClaimVerdict::Held => wire::ClaimOutcome::Held,
+        ClaimVerdict::Conflict => wire::ClaimOutcome::Conflict,
+        ClaimVerdict::Expired => wire::ClaimOutcome::Expired,
+        ClaimVerdict::Unavailable => wire::ClaimOutcome::Unavailable,
+    }
+}
--- /dev/null
+++ b/crates/cactusbarrow_router/src/claim_owner.rs
@@ -0,0 +1,220 @@
+//! Carries the claim shards' actions to the platform's store.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
+
+use cactusbarrow_net::{Clock, unix_seconds};
+use cactusbarrow_platform::{
+    CLAIM_SHARDS, HostList, Store, StoreError, claim_head_key, claim_segment_key, claim_shard_of,
+};
+use cactusbarrow_policy::{
+    ClaimAction, ClaimConfig, ClaimEvent, ClaimNonce, ClaimPage, ClaimRequest, ClaimShard,
+    ClaimVerdict, KeyHash,
+};
+use tokio::sync::{Notify, oneshot};
+
+use crate::router::Router;
+
+#[derive(Debug)]
+struct ShardState {
+    machine: ClaimShard,
+    waiting: HashMap<ClaimNonce, Vec<oneshot::Sender<ClaimVerdict>>>,
+    actions: VecDeque<ClaimAction>,
+    /// A task carries the shard's actions.
+    is_driven: bool,
+    news: Arc<Notify>,
+}
+
+/// The claim shards of this process, each under its own lock.
+#[derive(Debug)]
+pub(crate) struct ClaimOwner {
+    shards: Vec<Mutex<ShardState>>,
+}
+
+impl ClaimOwner {
+    /// Creates shards about which nothing is known yet.
+    pub(crate) fn new(cfg: ClaimConfig) -> Self {
+        let shard = || {
+            Mutex::new(ShardState {
+                machine: ClaimShard::new(cfg),
+                waiting: HashMap::new(),
+                actions: VecDeque::new(),
+                is_driven: false,
+                news: Arc::default(),
+            })
+        };
+        Self {
+            shards: (0..CLAIM_SHARDS).map(|_| shard()).collect(),
+        }
+    }
+
+    fn shard(&self, shard: u16) -> MutexGuard<'_, ShardState> {
+        self.shards[usize::from(shard)]
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl<S: Store + HostList, C: Clock> Router<S, C> {
+    /// Claims a call in the store, from this process.
+    pub(crate) async fn claim_here(self: &Arc<Self>, req: ClaimRequest) -> ClaimVerdict {
+        let shard = claim_shard_of(req.key);
+        let (tx, rx) = oneshot::channel();
+        self.claims
+            .shard(shard)
+            .waiting
+            .entry(req.nonce)
+            .or_default()
+            .push(tx);
+        self.step_claims(shard, ClaimEvent::Claim(req));
+        rx.await.unwrap_or(ClaimVerdict::Unavailable)
+    }
+
+    /// Releases a claim in the store, from this process.
+    pub(crate) fn release_here(self: &Arc<Self>, key: KeyHash, nonce: ClaimNonce) {
+        self.step_claims(claim_shard_of(key), ClaimEvent::Release { key, nonce });
+    }
+
+    /// Applies an event, and sees to it that a task carries the actions.
+    fn step_claims(self: &Arc<Self>, shard: u16, event: ClaimEvent) {
+        self.handle_claim_event(shard, event);
+        let mut state = self.claims.shard(shard);
+        state.news.notify_one();
+        if !state.is_driven {
+            state.is_driven = true;
+            drop(state);
+            let router = self.clone();
+            self.tasks
+                .spawn(async move { router.drive_claims(shard).await });
+        }
+    }
+
+    fn handle_claim_event(&self, shard: u16, event: ClaimEvent) {
+        let now = self.clock.now();
+        let mut state = self.claims.shard(shard);
+        let actions = state.machine.handle(event, now, unix_seconds(&self.clock));
+        for action in actions {
+            match action {
+                ClaimAction::Answer { nonce, verdict } => state.answer(nonce, verdict),
+                other => state.actions.push_back(other),
+            }
+        }
+    }
+
+    /// Carries actions, one after another, until the shard has nothing left to do.
+    async fn drive_claims(&self, shard: u16) {
+        loop {
+            let next = self.claims.shard(shard).actions.pop_front();
+            if let Some(action) = next {
+                if let Some(event) = self.perform_claim(shard, action).await {
+                    self.handle_claim_event(shard, event);
+                }
+                continue;
+            }
+            let (wake, news) = {
+                let mut state = self.claims.shard(shard);
+                let wake = state.machine.next_wake();
+                if wake.is_none() && state.actions.is_empty() {
+                    state.is_driven = false;
+                    return;
+                }
+                (wake, state.news.clone())
+            };
+            tokio::select! {
+                () = sleep_until(wake) => {}
+                () = news.notified() => {}
+            }
+            self.handle_claim_event(shard, ClaimEvent::Tick);
+        }
+    }
+
+    async fn perform_claim(&self, shard: u16, action: ClaimAction) -> Option<ClaimEvent> {
+        match action {
+            ClaimAction::ReadHead => Some(self.read_head(shard).await),
+            ClaimAction::ReadSegment(id) => {
+                let key = claim_segment_key(shard, id);
+                Some(match self.read_page(&key).await {
+                    Some(Some((_, page))) => ClaimEvent::SegmentRead { id, page },
+                    _ => ClaimEvent::SegmentFailed,
+                })
+            }
+            ClaimAction::WriteSegment { id, value } => {
+                let key = claim_segment_key(shard, id);
+                Some(match self.store.put(&key, value.into()).await {
+                    Ok(()) => ClaimEvent::SegmentWritten,
+                    Err(e) => failed(&e, ClaimEvent::SegmentFailed),
+                })
+            }
+            ClaimAction::WriteHead { value, expected } => {
+                let key = claim_head_key(shard);
+                metrics::counter!("cactusbarrow_claim_writes_total").increment(1);
+                let swapped = self
+                    .store
+                    .compare_and_swap(&key, value.into(), expected)
+                    .await;
+                Some(match swapped {
+                    Ok(true) => ClaimEvent::HeadWritten,
+                    Ok(false) => ClaimEvent::HeadConflict,
+                    Err(e) => failed(&e, ClaimEvent::HeadUncertain),
+                })
+            }
+            ClaimAction::DeleteSegments(ids) => {
+                for id in ids {
+                    // A segment that stays costs space only.
+                    let _ = self.store.delete(&claim_segment_key(shard, id)).await;
+                }
+                None
+            }
+            ClaimAction::Answer { nonce, verdict } => {
+                self.claims.shard(shard).answer(nonce, verdict);
+                None
+            }
+        }
+    }
+
+    async fn read_head(&self, shard: u16) -> ClaimEvent {
+        match self.read_page(&claim_head_key(shard)).await {
+            Some(head) => ClaimEvent::HeadRead(head),
+            None => ClaimEvent::HeadUnread,
+        }
+    }
+
+    /// Reads a page; `None` if the store does not answer or the page cannot be read.
+    async fn read_page(&self, key: &str) -> Option<Option<(u64, ClaimPage)>> {
+        match self.store.get(key).await {
+            Ok(None) => Some(None),
+            Ok(Some(stored)) => match ClaimPage::decode(&stored.value) {
+                Ok(page) => Some(Some((stored.index, page))),
+                Err(e) => {
+                    log::error!(step = "read claims", key = key; "{e}");
+                    None
+                }
+            },
+            Err(e) => {
+                log::warn!(step = e.step, key = key, peer = e.peer; "{e}");
+                None
+            }
+        }
+    }
+}
+
+impl ShardState {
+    fn answer(&mut self, nonce: ClaimNonce, verdict: ClaimVerdict) {
+        for tx in self.waiting.remove(&nonce).unwrap_or_default() {
+            // A requester that gave up needs no answer.
+            let _ = tx.send(verdict);
+        }
+    }
+}
+
+fn failed(error: &StoreError, event: ClaimEvent) -> ClaimEvent {
+    log::warn!(step = error.step, key = error.key, peer = error.peer; "{error}");
+    event
+}
+
+async fn sleep_until(at: Option<Instant>) {
+    if let Some(at) = at {
+        tokio::time::sleep_until(at.into()).await;
+    }
+}
--- /dev/null
+++ b/crates/cactusbarrow_router/src/config_state.rs
@@ -0,0 +1,84 @@
+//! The configuration in force in this process.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use cactusbarrow_document::Fleet;
+use cactusbarrow_policy::{Adoption, Delta, Revision};
+use tokio::sync::watch;
+
+/// The configuration in force, and a way to learn of the next.
+#[derive(Debug)]
+pub(crate) struct ConfigState {
+    adoption: Mutex<Adoption>,
+    fleet: watch::Sender<Arc<Fleet>>,
+}
+
+impl ConfigState {
+    /// Creates a state in which nothing is in force.
+    pub(crate) fn new() -> Self {
+        Self {
+            adoption: Mutex::new(Adoption::new()),
+            fleet: watch::Sender::new(Arc::new(Fleet::default())),
+        }
+    }
+
+    /// Adopts a delta if it is newer; `source` is for the log.
+    ///
+    /// Returns true if it was adopted.
+    pub(crate) fn adopt(&self, delta: &Delta, source: &str) -> bool {
+        let mut adoption = self.adoption.lock().unwrap_or_else(PoisonError::into_inner);
+        let known = adoption.revision();
+        match adoption.adopt(delta) {
+            Ok(true) => {}
+            Ok(false) => return false,
+            Err(e) => {
+                log::warn!(step = "adopt configuration", peer = source; "{e}");
+                return false;
+            }
+        }
+        // Published under the lock, so that an older fleet never follows a newer one.
+        let fleet = self.next_fleet(delta, known);
+        self.fleet.send_replace(Arc::new(fleet));
+        log::info!(revision = delta.to.0, peer = source; "configuration adopted");
+        metrics::gauge!("cactusbarrow_config_revision").set(delta.to.0 as f64);
+        true
+    }
+
+    /// Returns the configuration in force.
+    pub(crate) fn fleet(&self) -> Arc<Fleet> {
+        self.fleet.borrow().clone()
+    }
+
+    /// Returns the revision in force.
+    pub(crate) fn revision(&self) -> Revision {
+        self.fleet.borrow().revision()
+    }
+
+    /// Returns a receiver that learns of each adoption.
+    pub(crate) fn subscribe(&self) -> watch::Receiver<Arc<Fleet>> {
+        self.fleet.subscribe()
+    }
+
+    /// Returns what leads a peer from `since` to the revision in force.
+    pub(crate) fn delta_since(&self, since: Revision) -> Delta {
+        let adoption = self.adoption.lock().unwrap_or_else(PoisonError::into_inner);
+        adoption.delta_since(since)
+    }
+
+    fn next_fleet(&self, delta: &Delta, known: Revision) -> Fleet {
+        let is_whole = delta.from == Revision(0);
+        let mut fleet = if is_whole {
+            Fleet::default()
+        } else {
+            Fleet::clone(&self.fleet.borrow())
+        };
+        let is_new = |revision: Revision| is_whole || revision > known;
+        for change in delta.changes.iter().filter(|c| is_new(c.revision)) {
+            if let Err(e) = fleet.apply(&change.key, change.value.as_deref(), change.revision) {
+                log::error!(step = "apply configuration"; "{e}");
+            }
+        }
+        fleet.set_revision(delta.to);
+        fleet
+    }
+}
--- /dev/null
+++ b/crates/cactusbarrow_router/src/directory.rs
@@ -0,0 +1,185 @@
+//! Soft-state directory: where a request is being served.
+//!
+//! An entry lies at the two routers of different zones that rank first for its
+//! key. It lets any router find a generation by its caller's key, and the first
+//! of the two decides which of two racing requests under one key starts.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use cactusbarrow_net::Clock;
+use cactusbarrow_platform::{HostList, Store};
+use cactusbarrow_policy::{AttemptNumber, KeyHash};
+use cactusbarrow_protocol::generated::control_reply::Reply;
+use cactusbarrow_protocol::generated::control_request::Request;
+use cactusbarrow_protocol::generated::{DirectoryEntry, DirectoryGet, DirectoryPut};
+
+use crate::drive::DriveRequest;
+use crate::router::Router;
+
+const SHARDS: usize = 16;
+/// How long an entry is held.
+const RETENTION: Duration = Duration::from_secs(600);
+/// Entries held per shard; the oldest go first.
+const MAX_SHARD_ENTRIES: usize = 8_192;
+const CALL_TIMEOUT: Duration = Duration::from_millis(300);
+
+#[derive(Debug, Default)]
+struct Shard {
+    entries: HashMap<u128, DirectoryEntry>,
+    by_age: VecDeque<(Instant, u128)>,
+}
+
+/// The entries that this router holds.
+#[derive(Debug)]
+pub(crate) struct Directory {
+    shards: Vec<Mutex<Shard>>,
+}
+
+impl Default for Directory {
+    fn default() -> Self {
+        Self {
+            shards: (0..SHARDS).map(|_| Mutex::default()).collect(),
+        }
+    }
+}
+
+impl Directory {
+    /// Stores an entry, and returns the one in force.
+    ///
+    /// With `only_if_absent` an entry of another generation stays in force.
+    pub(crate) fn put(
+        &self,
+        entry: DirectoryEntry,
+        only_if_absent: bool,
+        now: Instant,
+    ) -> DirectoryEntry {
+        let Some(key) = KeyHash::from_slice(&entry.key) else {
+            return DirectoryEntry::default();
+        };
+        let mut shard = self.shard(key.0);
+        shard.forget_old(now);
+        if let Some(held) = shard.entries.get(&key.0) {
+            let is_same = held.generation == entry.generation;
+            let is_older = is_same && held.attempt > entry.attempt;
+            if is_older || (only_if_absent && !is_same) {
+                return held.clone();
+            }
+        } else {
+            shard.by_age.push_back((now, key.0));
+        }
+        shard.entries.insert(key.0, entry.clone());
+        entry
+    }
+
+    /// Returns an entry; its key is empty if there is none.
+    pub(crate) fn get(&self, key: KeyHash, now: Instant) -> DirectoryEntry {
+        let mut shard = self.shard(key.0);
+        shard.forget_old(now);
+        shard.entries.get(&key.0).cloned().unwrap_or_default()
+    }
+
+    fn shard(&self, key: u128) -> std::sync::MutexGuard<'_, Shard> {
+        self.shards[(key % SHARDS as u128) as usize]
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Shard {
+    fn forget_old(&mut self, now: Instant) {
+        while let Some((at, key)) = self.by_age.front().copied() {
+            let is_expired = now.duration_since(at) >= RETENTION;
+            if !is_expired && self.by_age.len() < MAX_SHARD_ENTRIES {
+                return;
+            }
+            self.by_age.pop_front();
+            self.entries.remove(&key);
+        }
+    }
+}
+
+impl<S: Store + HostList, C: Clock> Router<S, C> {
+    /// Stores an entry at its owners, and returns the one in force.
+    ///
+    /// The first owner that answers decides; `None` if none answers.
+    pub(crate) async fn directory_put(
+        &self,
+        entry: DirectoryEntry,
+        only_if_absent: bool,
+    ) -> Option<DirectoryEntry> {
+        let mut decided: Option<DirectoryEntry> = None;
+        for peer in self.peers.owners(owner_key(&entry.key)) {
+            let entry = decided.clone().unwrap_or_else(|| entry.clone());
+            let is_decided = decided.is_some();
+            let in_force = if self.peers.is_own(&peer) {
+                let now = self.clock.now();
+                Some(
+                    self.directory
+                        .put(entry, only_if_absent && !is_decided, now),
+                )
+            } else {
+                let put = Request::DirectoryPut(DirectoryPut {
+                    entry: Some(entry),
+                    only_if_absent: only_if_absent && !is_decided,
+                });
+                match self.control.call(peer.control, put, CALL_TIMEOUT).await {
+                    Ok(Reply::Directory(entry)) => Some(entry),
+                    _ => None,
+                }
+            };
+            decided = decided.or(in_force);
+        }
+        decided
+    }
+
+    /// Looks an entry up at its owners.
+    pub(crate) async fn directory_get(&self, key: KeyHash) -> Option<DirectoryEntry> {
+        for peer in self.peers.owners(owner_key(&key.to_bytes())) {
+            let entry = if self.peers.is_own(&peer) {
+                Some(self.directory.get(key, self.clock.now()))
+            } else {
+                let get = Request::DirectoryGet(DirectoryGet {
+                    key: key.to_bytes().to_vec().into(),
+                });
+                match self.control.call(peer.control, get, CALL_TIMEOUT).await {
+                    Ok(Reply::Directory(entry)) => Some(entry),
+                    _ => None,
+                }
+            };
+            if let Some(entry) = entry.filter(|entry| !entry.key.is_empty()) {
+                return Some(entry);
+            }
+        }
+        None
+    }
+
+    /// Tells the directory which backend server runs a generation, without waiting.
+    pub(crate) fn announce(
+        self: Arc<Self>,
+        req: &DriveRequest,
+        attempt: AttemptNumber,
+        backend_server: &str,
+    ) {
+        let generation = req.generation.to_bytes().to_vec();
+        let by_generation = (attempt.0 > 1).then(|| generation.clone());
+        let by_key = req.key.map(|key| key.to_bytes().to_vec());
+        for key in by_generation.into_iter().chain(by_key) {
+            let entry = DirectoryEntry {
+                key: key.into(),
+                generation: generation.clone().into(),
+                backend_server: backend_server.to_owned(),
+                body_hash: req.template.body_hash,
+                attempt: attempt.0,
+            };
+            let router = self.clone();
+            self.tasks
+                .spawn(async move { router.directory_put(entry, false).await });
+        }
+    }
+}
+
+fn owner_key(key: &[u8]) -> u64 {
+    cactusbarrow_policy::stable_hash(key)
+}
--- /dev/null
+++ b/crates/cactusbarrow_router/src/drive.rs
@@ -0,0 +1,417 @@
+//! Drives one generation: carries events into its state machine and actions out.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use cactusbarrow_net::Clock;
+use cactusbarrow_platform::{HostList, Store};
+use cactusbarrow_policy::{
+    Action, AttemptEnd, AttemptNumber, Event, Generation, GenerationId, KeyHash, Outcome, Reason,
+};
+use cactusbarrow_protocol::generated::control_request::Request;
+use cactusbarrow_protocol::generated::{CancelAttempt, GenerateRequest};
+use cactusbarrow_protocol::run_from_buffer;
+use tokio::sync::mpsc;
+use tokio::task::AbortHandle;
+
+use crate::attempt::{self, AttemptEvent, AttemptMessage, FrameStream};
+use crate::auth::CustomerPermit;
+use crate::refusal::Refusal;
+use crate::router::Router;
+use crate::sink::{Sink, Source};
+
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
+const EVENT_QUEUE: usize = 64;
+
+/// What a driver needs to know of its generation.
+#[derive(Clone, Debug)]
+pub(crate) struct DriveRequest {
+    /// The generation.
+    pub(crate) generation: GenerationId,
+    /// The request, without attempt and prefix.
+    pub(crate) template: GenerateRequest,
+    /// The service.
+    pub(crate) service: String,
+    /// The caller's key.
+    pub(crate) key: Option<KeyHash>,
+    /// Whether no earlier request can have used the key.
+    pub(crate) is_fresh: bool,
+    /// Tokens that the caller already has.
+    pub(crate) position: usize,
+}
+
+/// An attempt that another router started and this one reads on.
+pub(crate) struct Taken {
+    /// Number of the attempt.
+    pub(crate) attempt: AttemptNumber,
+    /// Backend server that runs it.
+    pub(crate) backend_server: String,
+    /// Control address of its agent.
+    pub(crate) control: SocketAddr,
+    /// Its frames.
+    pub(crate) frames: FrameStream,
+}
+
+struct Running {
+    backend_server: String,
+    control: SocketAddr,
+    task: AbortHandle,
+}
+
+/// Carries one generation to its end.
+pub(crate) struct Drive<S: Store + HostList, C: Clock, K> {
+    router: Arc<Router<S, C>>,
+    req: DriveRequest,
+    machine: Generation,
+    running: HashMap<AttemptNumber, Running>,
+    excluded: Vec<String>,
+    last_end: Reason,
+    tx: mpsc::Sender<AttemptMessage>,
+    rx: mpsc::Receiver<AttemptMessage>,
+    permit: CustomerPermit<S, C>,
+    sink: K,
+}
+
+impl<S: Store + HostList, C: Clock, K: Sink> Drive<S, C, K> {
+    /// Runs a new generation.
+    pub(crate) async fn run_new(
+        router: Arc<Router<S, C>>,
+        req: DriveRequest,
+        permit: CustomerPermit<S, C>,
+        sink: K,
+    ) {
+        let cfg = router.generation_config(&req.service);
+        let now = router.clock.now();
+        let (machine, actions) = Generation::start(cfg, now);
+        let mut drive = Self::new(router, req, machine, permit, sink);
+        if drive.perform(actions).await {
+            drive.run().await;
+        }
+    }
+
+    /// Goes on with a generation whose attempt is read from its first token on.
+    pub(crate) async fn run_taken(
+        router: Arc<Router<S, C>>,
+        req: DriveRequest,
+        taken: Taken,
+        permit: CustomerPermit<S, C>,
+        sink: K,
+    ) {
+        let cfg = router.generation_config(&req.service);
+        let now = router.clock.now();
+        let machine = Generation::take_over(cfg, taken.attempt, req.position, now);
+        let mut drive = Self::new(router, req, machine, permit, sink);
+        let pump = attempt::pump(taken.frames, taken.attempt, drive.tx.clone());
+        let task = drive.router.tasks.spawn(pump).abort_handle();
+        drive.router.load().record_start(&taken.backend_server);
+        drive.running.insert(
+            taken.attempt,
+            Running {
+                backend_server: taken.backend_server,
+                control: taken.control,
+                task,
+            },
+        );
+        drive.run().await;
+    }
+
+    fn new(
+        router: Arc<Router<S, C>>,
+        req: DriveRequest,
+        machine: Generation,
+        permit: CustomerPermit<S, C>,
+        sink: K,
+    ) -> Self {
+        let (tx, rx) = mpsc::channel(EVENT_QUEUE);
+        Self {
+            router,
+            req,
+            machine,
+            running: HashMap::new(),
+            excluded: Vec::new(),
+            last_end: Reason::NoBackend,
+            tx,
+            rx,
+            permit,
+            sink,
+        }
+    }
+
+    async fn run(&mut self) {
+        let closing = self.router.closing.clone();
+        while !self.machine.is_done() {
+            let wake = self.machine.next_wake();
+            // Events come before the timer: tokens that wait here are not a stall.
+            tokio::select! {
+                biased;
+                () = self.sink.closed() => return,
+                () = closing.cancelled() => {
+                    self.sink.cut().await;
+                    return;
+                }
+                Some((attempt, event)) = self.rx.recv() => {
+                    if !self.on_event(attempt, event).await {
+                        return;
+                    }
+                }
+                () = sleep_until(wake) => {
+                    if !self.apply(Event::Tick).await {
+                        return;
+                    }
+                }
+            }
+        }
+    }
+
+    async fn on_event(&mut self, attempt: AttemptNumber, event: AttemptEvent) -> bool {
+        match event {
+            AttemptEvent::Started { in_flight } => {
+                self.on_started(attempt, in_flight);
+                let engine_alive = true;
+                self.apply(Event::Alive {
+                    attempt,
+                    engine_alive,
+                })
+                .await
+            }
+            AttemptEvent::Tokens { offset, tokens } => {
+                self.apply(Event::Tokens {
+                    attempt,
+                    offset,
+                    tokens: &tokens,
+                })
+                .await
+            }
+            AttemptEvent::Alive { engine_alive } => {
+                self.apply(Event::Alive {
+                    attempt,
+                    engine_alive,
+                })
+                .await
+            }
+            AttemptEvent::MoveRequested => {
+                if let Some(running) = self.running.get(&attempt) {
+                    self.excluded.push(running.backend_server.clone());
+                    self.last_end = Reason::Moved;
+                }
+                self.apply(Event::MoveRequested { attempt }).await
+            }
+            AttemptEvent::Ended { length, end } => {
+                self.on_ended(attempt, end);
+                self.apply(Event::Ended {
+                    attempt,
+                    length,
+                    end,
+                })
+                .await
+            }
+        }
+    }
+
+    async fn apply(&mut self, event: Event<'_>) -> bool {
+        let now = self.router.clock.now();
+        let actions = self.machine.handle(event, now, &mut rand::rng());
+        self.perform(actions).await
+    }
+
+    /// Performs actions; returns false if the caller is gone.
+    async fn perform(&mut self, actions: Vec<Action>) -> bool {
+        for action in actions {
+            match action {
+                Action::Start { attempt, prefix } => self.start(attempt, prefix),
+                Action::Cancel { attempt } => self.cancel(attempt),
+                Action::Emit { from, to } => {
+                    if !self.emit(from, to).await {
+                        return false;
+                    }
+                }
+                Action::Finish(reason) => self.sink.finish(reason).await,
+                Action::GiveUp(outcome, reason) => {
+                    let refusal = self.refusal(outcome, reason);
+                    self.sink.fail(refusal).await;
+                }
+            }
+        }
+        true
+    }
+
+    fn start(&mut self, attempt: AttemptNumber, prefix: usize) {
+        let is_repeat = attempt.0 > 1 && prefix == 0 && self.last_end != Reason::NoBackend;
+        if is_repeat && !self.router.try_retry(&self.req.service, self.last_end) {
+            self.refuse(attempt, Reason::RetryBudget);
+            return;
+        }
+        if attempt.0 > 1 {
+            let reason = self.last_end.as_str();
+            metrics::counter!("cactusbarrow_resumes_total", "reason" => reason).increment(1);
+        }
+        let template = &self.req.template;
+        let server = self.router.choose(
+            &self.req.service,
+            Some(&template.version),
+            Some(template.prompt.as_bytes()),
+            &self.excluded,
+        );
+        let Some(server) = server else {
+            self.excluded.clear();
+            self.refuse(attempt, Reason::NoBackend);
+            return;
+        };
+        let mut req = template.clone();
+        req.attempt = attempt.0;
+        req.backend_server = server.name().to_owned();
+        req.prefix = Some(run_from_buffer(self.machine.accepted(), 0..prefix));
+        let http = self.router.agents.clone();
+        let run = attempt::run(http, server.agent(), req, self.tx.clone());
+        let task = self.router.tasks.spawn(run).abort_handle();
+        self.router.load().record_start(server.name());
+        self.running.insert(
+            attempt,
+            Running {
+                backend_server: server.name().to_owned(),
+                control: server.control(),
+                task,
+            },
+        );
+    }
+
+    /// Reports an attempt that could not be started, as an event of its own.
+    fn refuse(&mut self, attempt: AttemptNumber, reason: Reason) {
+        let end = AttemptEnd::Refused(reason);
+        let event = AttemptEvent::Ended { length: 0, end };
+        let tx = self.tx.clone();
+        // The queue may be full of tokens, and this task is the one that empties it.
+        self.router
+            .tasks
+            .spawn(async move { tx.send((attempt, event)).await });
+    }
+
+    fn cancel(&mut self, attempt: AttemptNumber) {
+        let Some(running) = self.running.remove(&attempt) else {
+            return;
+        };
+        running.task.abort();
+        self.router.load().record_end(&running.backend_server);
+        if self.machine.is_done() || self.last_end == Reason::Moved {
+            // The attempt is no longer needed, which says nothing of its backend server.
+        } else {
+            let now = self.router.clock.now();
+            self.router
+                .load()
+                .record_failure(&running.backend_server, now);
+            self.excluded.push(running.backend_server.clone());
+        }
+        let cancel = Request::Cancel(CancelAttempt {
+            generation: self.req.generation.to_bytes().to_vec().into(),
+            attempt: attempt.0,
+        });
+        let control = self.router.control.clone();
+        self.router.tasks.spawn(async move {
+            let cancelled = control.call(running.control, cancel, CANCEL_TIMEOUT).await;
+            if let Err(e) = cancelled {
+                log::debug!(step = "cancel attempt", peer = e.peer; "{e}");
+            }
+        });
+    }
+
+    async fn emit(&mut self, from: usize, to: usize) -> bool {
+        self.permit.charge(to - from);
+        let from = from.max(self.req.position);
+        if from >= to {
+            return true;
+        }
+        let attempt = self.machine.current_attempt().unwrap_or_default();
+        let backend_server = self
+            .running
+            .get(&attempt)
+            .map_or("", |running| running.backend_server.as_str());
+        let source = Source {
+            attempt,
+            backend_server,
+        };
+        self.sink
+            .tokens(self.machine.accepted(), from..to, source)
+            .await
+    }
+
+    fn on_started(&mut self, attempt: AttemptNumber, in_flight: usize) {
+        let Some(running) = self.running.get(&attempt) else {
+            return;
+        };
+        let load = cactusbarrow_policy::BackendLoad {
+            in_flight,
+            is_draining: false,
+            is_alive: true,
+        };
+        self.router
+            .load()
+            .record_report(&running.backend_server, load);
+        if self.req.key.is_some() || attempt.0 > 1 {
+            self.router
+                .clone()
+                .announce(&self.req, attempt, &running.backend_server);
+        }
+    }
+
+    fn on_ended(&mut self, attempt: AttemptNumber, end: AttemptEnd) {
+        let Some(running) = self.running.get(&attempt) else {
+            return;
+        };
+        let now = self.router.clock.now();
+        let server = running.backend_server.clone();
+        let mut load = self.router.load();
+        match end {
+            AttemptEnd::Finished(_) | AttemptEnd::Rejected(_) => {}
+            AttemptEnd::Refused(reason) => {
+                if reason == Reason::Draining {
+                    load.record_draining(&server);
+                } else if reason != Reason::BackendFull {
+                    load.record_failure(&server, now);
+                }
+                self.last_end = reason;
+                self.excluded.push(server.clone());
+            }
+            AttemptEnd::Lost(reason) => {
+                load.record_failure(&server, now);
+                self.last_end = reason;
+                self.excluded.push(server.clone());
+            }
+        }
+        if matches!(end, AttemptEnd::Refused(_)) {
+            load.record_end(&server);
+            drop(load);
+            self.running.remove(&attempt);
+        }
+    }
+
+    fn refusal(&self, outcome: Outcome, reason: Reason) -> Refusal {
+        let outcome = match outcome {
+            Outcome::NotRun if !self.req.is_fresh => Outcome::Unknown,
+            other => other,
+        };
+        Refusal::new(outcome, reason, "generate").because(format!(
+            "gave up after {} attempts and {} tokens",
+            self.machine.stats().attempts,
+            self.machine.accepted().len()
+        ))
+    }
+}
+
+impl<S: Store + HostList, C: Clock, K> Drop for Drive<S, C, K> {
+    fn drop(&mut self) {
+        // Attempts that still run go on at their agents for a while, for a reader that comes back.
+        for running in self.running.values() {
+            running.task.abort();
+            self.router.load().record_end(&running.backend_server);
+        }
+    }
+}
+
+async fn sleep_until(at: Option<Instant>) {
+    match at {
+        Some(at) => tokio::time::sleep_until(at.into()).await,
+        None => std::future::pending().await,
+    }
+}
--- /dev/null
+++ b/crates/cactusbarrow_router/src/hosts.rs
@@ -0,0 +1,144 @@
+//! What the platform's list of hosts says.
+
+use std::collections::BTreeSet;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use cactusbarrow_net::Clock;
+use cactusbarrow_platform::{Host, HostList, HostRole, HostState, Store};
+use cactusbarrow_protocol::generated::Poll;
+use cactusbarrow_protocol::generated::control_request::Request;
+use rand::RngExt;
+
+use crate::config::Peer;
+use crate::router::Router;
+
+const RETRY_WAIT: Duration = Duration::from_millis(500);
+const NOTIFY_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The backend servers that are leaving, as of one index of the list.
+#[derive(Debug, Default)]
+pub(crate) struct Leaving {
+    state: Mutex<LeavingState>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct LeavingState {
+    index: u64,
+    names: BTreeSet<String>,
+}
+
+impl Leaving {
+    /// Returns whether a backend server is leaving, and the index of the list that says so.
+    pub(crate) fn of(&self, name: &str) -> (bool, u64) {
+        let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        (state.names.contains(name), state.index)
+    }
+
+    /// Replaces the set; returns the names whose state changed.
+    fn replace(&self, index: u64, names: BTreeSet<String>) -> Vec<String> {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let changed = state.names.symmetric_difference(&names).cloned().collect();
+        *state = LeavingState { index, names };
+        changed
+    }
+}
+
+/// Follows the platform's list until the router stops.
+pub(crate) async fn follow<S: Store + HostList, C: Clock>(router: Arc<Router<S, C>>) {
+    let mut index = 0;
+    loop {
+        let is_watcher = router.peers.is_watcher(router.cfg.watchers_per_zone);
+        let wait = if is_watcher {
+            router.cfg.watch_wait
+        } else {
+            Duration::from_millis(1)
+        };
+        let pause = match router.store.hosts(index, wait).await {
+            Ok((at, hosts)) => {
+                if at != index {
+                    index = at;
+                    adopt(&router, at, &hosts, is_watcher);
+                }
+                if is_watcher {
+                    Duration::ZERO
+                } else {
+                    router.cfg.idle_read_interval.mul_f64(jitter())
+                }
+            }
+            Err(e) => {
+                log::warn!(step = e.step, peer = e.peer; "{e}");
+                RETRY_WAIT.mul_f64(jitter())
+            }
+        };
+        tokio::select! {
+            () = router.stop.cancelled() => return,
+            () = tokio::time::sleep(pause) => {}
+        }
+    }
+}
+
+/// Returns a random factor around 1 that keeps processes from acting in step.
+pub(crate) fn jitter() -> f64 {
+    rand::rng().random_range(0.75..1.25)
+}
+
+fn adopt<S: Store + HostList, C: Clock>(
+    router: &Arc<Router<S, C>>,
+    index: u64,
+    hosts: &[Host],
+    is_watcher: bool,
+) {
+    let routers: Vec<Peer> = hosts
+        .iter()
+        .filter(|host| host.role == HostRole::Router && host.state == HostState::Live)
+        .filter_map(|host| {
+            Some(Peer {
+                name: host.name.clone(),
+                zone: host.zone.clone(),
+                control: host.control_address?,
+            })
+        })
+        .collect();
+    if !routers.is_empty() && router.peers.replace(routers) {
+        router.select_members();
+    }
+    let is_leaving =
+        |host: &&Host| host.role == HostRole::BackendServer && host.state == HostState::Leaving;
+    let names = hosts
+        .iter()
+        .filter(is_leaving)
+        .map(|host| host.name.clone())
+        .collect();
+    let changed = router.leaving.replace(index, names);
+    if is_watcher {
+        // Few routers watch, so they tell the agents concerned at once.
+        for name in changed {
+            notify(router, &name);
+        }
+    }
+}
+
+fn notify<S: Store + HostList, C: Clock>(router: &Arc<Router<S, C>>, name: &str) {
+    let Some(server) = router.config.fleet().backend_server(name).cloned() else {
+        return;
+    };
+    let (is_leaving, host_list_index) = router.leaving.of(name);
+    let poll = Poll {
+        revision: router.config.revision().0,
+        view: None,
+        is_leaving,
+        host_list_index,
+    };
+    let router = router.clone();
+    router.tasks.clone().spawn(async move {
+        let req = Request::Poll(poll);
+        let sent = router
+            .control
+            .call(server.control_address, req, NOTIFY_TIMEOUT)
+            .await;
+        if let Err(e) = sent {
+            log::debug!(step = e.step, peer = e.peer; "{e}");
+        }
+    });
+}
--- /dev/null
+++ b/crates/cactusbarrow_router/src/members.rs
@@ -0,0 +1,87 @@
+//! The backend servers that this router works with.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use cactusbarrow_document::{BackendServer, Fleet};
+use cactusbarrow_policy::{Member, Revision, SubsetConfig, select_subset};
+
+use crate::peers::Peers;
+
+/// One backend server of the subset.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct MemberServer {
+    /// What the configuration says of it.
+    pub(crate) server: Arc<BackendServer>,
+    /// The revision that set this.
+    pub(crate) revision: Revision,
+    /// Whether it is in this router's zone.
+    pub(crate) is_same_zone: bool,
+}
+
+impl MemberServer {
+    /// Returns its name.
+    pub(crate) fn name(&self) -> &str {
+        &self.server.name
+    }
+
+    /// Returns the agent's address for requests.
+    pub(crate) fn agent(&self) -> SocketAddr {
+        self.server.agent_address
+    }
+
+    /// Returns the agent's address for control messages.
+    pub(crate) fn control(&self) -> SocketAddr {
+        self.server.control_address
+    }
+}
+
+/// The subset, by service.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Members {
+    by_service: HashMap<String, Vec<Arc<MemberServer>>>,
+}
+
+impl Members {
+    /// Selects the subset for a configuration and the routers known.
+    pub(crate) fn select(fleet: &Fleet, peers: &Peers, cfg: &SubsetConfig) -> Self {
+        let own = peers.own();
+        let routers = peers.all();
+        let zone_routers: Vec<&str> = routers
+            .iter()
+            .filter(|peer| peer.zone == own.zone)
+            .map(|peer| peer.name.as_str())
+            .collect();
+        let servers: Vec<&Arc<BackendServer>> = fleet.backend_servers().collect();
+        let members: Vec<Member<'_>> = servers
+            .iter()
+            .map(|server| Member {
+                name: &server.name,
+                group: server.model_version.as_deref().unwrap_or(&server.service),
+            })
+            .collect();
+        let mut by_service: HashMap<String, Vec<_>> = HashMap::new();
+        for i in select_subset(cfg, &own.name, &zone_routers, &members) {
+            let server = servers[i].clone();
+            let revision = fleet.backend_revision(&server.name).unwrap_or_default();
+            let service = by_service.entry(server.service.clone()).or_default();
+            service.push(Arc::new(MemberServer {
+                is_same_zone: server.zone == own.zone,
+                server,
+                revision,
+            }));
+        }
+        Self { by_service }
+    }
+
+    /// Returns the members that carry a service.
+    pub(crate) fn of_service(&self, service: &str) -> &[Arc<MemberServer>] {
+        self.by_service.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// Iterates over all members.
+    pub(crate) fn all(&self) -> impl Iterator<Item = &Arc<MemberServer>> {
+        self.by_service.values().flatten()
+    }
+}
--- /dev/null
+++ b/crates/cactusbarrow_router/src/poll.rs
@@ -0,0 +1,171 @@
+//! Polls of agents: they carry the configuration there and load back.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cactusbarrow_document::Fleet;
+use cactusbarrow_net::Clock;
+use cactusbarrow_platform::{HostList, Store};
+use cactusbarrow_policy::{BackendLoad, Revision};
+use cactusbarrow_protocol::generated::control_reply::Reply;
+use cactusbarrow_protocol::generated::control_request::Request;
+use cactusbarrow_protocol::generated::{AgentView, Poll, PollReply};
+
+use crate::members::MemberServer;
+use crate::router::Router;
+
+const POLL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Wait after the configuration changed, so that changes that come together are sent together.
+const SETTLE: Duration = Duration::from_millis(50);
+
+/// Polls the subset in turn, at a bounded rate, until the router stops.
+///
+/// A change that concerns a member is sent to its agent at once.
+pub(crate) async fn poll<S: Store + HostList, C: Clock>(router: Arc<Router<S, C>>) {
+    let mut adopted = router.config.subscribe();
+    let mut told: HashMap<String, Revision> = HashMap::new();
+    let interval = Duration::from_secs_f64(1.0 / router.cfg.polls_per_second);
+    let mut next = 0;
+    loop {
+        tokio::select! {
+            () = router.stop.cancelled() => return,
+            changed = adopted.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+                tokio::time::sleep(SETTLE).await;
+                adopted.mark_unchanged();
+                router.select_members();
+                let members = router.members();
+                told.retain(|name, _| members.all().any(|m| m.name() == name));
+                for member in members.all() {
+                    if told.get(member.name()) != Some(&member.revision) {
+                        told.insert(member.name().to_owned(), member.revision);
+                        spawn_poll(&router, member);
+                    }
+                }
+            }
+            () = tokio::time::sleep(interval) => {
+                let members = router.members();
+                let count = members.all().count();
+                if count > 0 {
+                    next = (next + 1) % count;
+                    if let Some(member) = members.all().nth(next) {
+                        spawn_poll(&router, member);
+                    }
+                }
+            }
+        }
+    }
+}
+
+fn spawn_poll<S: Store + HostList, C: Clock>(
+    router: &Arc<Router<S, C>>,
+    member: &Arc<MemberServer>,
+) {
+    let router = router.clone();
+    let member = member.clone();
+    router
+        .tasks
+        .clone()
+        .spawn(async move { poll_one(&router, &member).await });
+}
+
+async fn poll_one<S: Store + HostList, C: Clock>(router: &Router<S, C>, member: &MemberServer) {
+    let known = router.agent_revision(member.name());
+    let reply = send(router, member, known).await;
+    let Some(reply) = reply else {
+        router
+            .load()
+            .record_failure(member.name(), router.clock.now());
+        return;
+    };
+    record(router, member, &reply);
+    if Revision(reply.revision) < member.revision && known >= member.revision {
+        // The agent restarted and lost what it was told.
+        if let Some(reply) = send(router, member, Revision(reply.revision)).await {
+            record(router, member, &reply);
+        }
+    }
+}
+
+async fn send<S: Store + HostList, C: Clock>(
+    router: &Router<S, C>,
+    member: &MemberServer,
+    known: Revision,
+) -> Option<PollReply> {
+    let (is_leaving, host_list_index) = router.leaving.of(member.name());
+    let fleet = router.config.fleet();
+    let poll = Poll {
+        revision: fleet.revision().0,
+        view: (known < member.revision).then(|| view_of(&fleet, member)),
+        is_leaving,
+        host_list_index,
+    };
+    let reply = router
+        .control
+        .call(member.control(), Request::Poll(poll), POLL_TIMEOUT)
+        .await;
+    match reply {
+        Ok(Reply::Poll(reply)) => Some(reply),
+        Ok(_) => None,
+        Err(e) => {
+            log::debug!(step = "poll agent", peer = e.peer; "{e}");
+            None
+        }
+    }
+}
+
+fn record<S: Store + HostList, C: Clock>(
+    router: &Router<S, C>,
+    member: &MemberServer,
+    reply: &PollReply,
+) {
+    if reply.backend_server != member.name() {
+        log::warn!(
+            step = "poll agent",
+            named = reply.backend_server,
+            expected = member.name();
+            "another backend server answers at this address"
+        );
+        return;
+    }
+    router.set_agent_revision(member.name(), Revision(reply.revision));
+    let wanted = member.server.model_version.as_deref().unwrap_or_default();
+    let is_loaded = wanted.is_empty() || reply.loaded_version == wanted;
+    let load = BackendLoad {
+        in_flight: reply.in_flight as usize,
+        is_draining: reply.draining,
+        is_alive: reply.engine_alive && is_loaded,
+    };
+    router.load().record_report(member.name(), load);
+}
+
+fn view_of(fleet: &Fleet, member: &MemberServer) -> AgentView {
+    let server = &member.server;
+    let version = server
+        .model_version
+        .as_deref()
+        .and_then(|name| fleet.model_version(name));
+    let is_sharer = |other: &&Arc<_>| is_same_version(other, server);
+    AgentView {
+        backend_server: server.name.clone(),
+        revision: member.revision.0,
+        max_in_flight: server.max_in_flight,
+        draining: server.draining,
+        model_version: server.model_version.clone().unwrap_or_default(),
+        model: version.map_or_else(String::new, |v| v.model.clone()),
+        weights: version.map_or_else(String::new, |v| v.weights.clone()),
+        checks_fencing: server.checks_fencing,
+        adapters: version.map_or_else(Vec::new, |v| v.adapters.clone()),
+        version_servers: fleet.backend_servers().filter(is_sharer).count() as u32,
+    }
+}
+
+fn is_same_version(
+    a: &cactusbarrow_document::BackendServer,
+    b: &cactusbarrow_document::BackendServer,
+) -> bool {
+    a.model_version == b.model_version
+}
--- /dev/null
+++ b/crates/cactusbarrow_router/src/request.rs
@@ -0,0 +1,131 @@
+//! What a caller's request says, and how its key identifies it.
+
+use cactusbarrow_policy::{KeyHash, Outcome, Reason, stable_hash};
+use cactusbarrow_protocol::{FIRST_ATTEMPT_HEADER, IDEMPOTENCY_KEY_HEADER};
+use http::HeaderMap;
+use serde::Deserialize;
+use sha2::{Digest, Sha256};
+
+use crate::refusal::Refusal;
+
+/// Longest idempotency key, in bytes.
+const MAX_KEY_BYTES: usize = 256;
+const MAX_TOKENS_LIMIT: u32 = 1 << 20;
+
+/// Identity of a request within its customer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct RequestKey {
+    /// Hash of customer and key; `None` if the caller named no key.
+    pub(crate) key: Option<KeyHash>,
+    /// Whether no earlier request can have used the key.
+    pub(crate) is_fresh: bool,
+}
+
+impl RequestKey {
+    /// Reads the key from a request's headers.
+    pub(crate) fn from_headers(headers: &HeaderMap, customer: &str) -> Result<Self, Refusal> {
+        let Some(value) = headers.get(IDEMPOTENCY_KEY_HEADER) else {
+            return Ok(Self {
+                key: None,
+                is_fresh: true,
+            });
+        };
+        if value.is_empty() || value.len() > MAX_KEY_BYTES {
+            return Err(
+                Refusal::new(Outcome::NotRun, Reason::BadRequest, "read idempotency key")
+                    .because(format!("the key must have 1 to {MAX_KEY_BYTES} bytes")),
+            );
+        }
+        Ok(Self {
+            key: Some(hash_key(customer, value.as_bytes())),
+            is_fresh: outcome_if_unread(headers) == Outcome::NotRun,
+        })
+    }
+
+    /// Returns what may be said of a request that this router did not run.
+    ///
+    /// An earlier request under the same key may have been run by another router.
+    pub(crate) fn outcome_if_not_sent(&self) -> Outcome {
+        if self.is_fresh {
+            Outcome::NotRun
+        } else {
+            Outcome::Unknown
+        }
+    }
+}
+
+/// Returns what may be said of a request that is refused before its customer is known.
+pub(crate) fn outcome_if_unread(headers: &HeaderMap) -> Outcome {
+    let is_first = headers
+        .get(FIRST_ATTEMPT_HEADER)
+        .is_some_and(|value| value == "1");
+    if is_first || !headers.contains_key(IDEMPOTENCY_KEY_HEADER) {
+        Outcome::NotRun
+    } else {
+        Outcome::Unknown
+    }
+}
+
+fn hash_key(customer: &str, key: &[u8]) -> KeyHash {
+    let mut hasher = Sha256::new();
+    hasher.update(customer.as_bytes());
+    hasher.update([0]);
+    hasher.update(key);
+    let digest = hasher.finalize();
+    let mut buf = [0; 16];
+    buf.copy_from_slice(&digest[..16]);
+    KeyHash(u128::from_be_bytes(buf))
+}
+
+/// Returns the hash of a customer's name that agents compare.
+pub(crate) fn hash_customer(customer: &str) -> u64 {
+    stable_hash(customer.as_bytes())
+}
+
+/// Body of a completions request; fields of other systems are passed over.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+pub(crate) struct CompletionRequest {
+    /// The model's name.
+    pub(crate) model: String,
+    /// The prompt.
+    pub(crate) prompt: String,
+    /// Whether to stream tokens as they come.
+    #[serde(default)]
+    pub(crate) stream: bool,
+    /// Largest number of tokens.
+    #[serde(default = "default_max_tokens")]
+    pub(crate) max_tokens: u32,
+    /// Seed of the sampling; drawn at random if absent.
+    pub(crate) seed: Option<u64>,
+    /// Temperature of the sampling.
+    #[serde(default = "default_temperature")]
+    pub(crate) temperature: f32,
+    /// Adapter to apply.
+    #[serde(default)]
+    pub(crate) adapter: String,
+    /// Priority at the engine.
+    #[serde(default)]
+    pub(crate) priority: i32,
+}
+
+const fn default_max_tokens() -> u32 {
+    256
+}
+
+const fn default_temperature() -> f32 {
+    1.0
+}
+
+impl CompletionRequest {
+    /// Reads a request's body; the message names the place of a fault.
+    pub(crate) fn parse(body: &[u8]) -> Result<Self, String> {
+        let req: Self = serde_json::from_slice(body).map_err(|e| e.to_string())?;
+        if req.max_tokens == 0 || req.max_tokens > MAX_TOKENS_LIMIT {
+            return Err(format!("max_tokens must be 1 to {MAX_TOKENS_LIMIT}"));
+        }
+        if !req.temperature.is_finite() || req.temperature < 0.0 {
+            return Err("temperature must be a number of at least 0".to_owned());
+        }
+        Ok(req)
+    }
+}
--- /dev/null
+++ b/crates/cactusbarrow_router/src/router.rs
@@ -0,0 +1,201 @@
+//! State shared by the tasks of one router.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+
+use cactusbarrow_document::Preference;
+use cactusbarrow_net::{Clock, ControlClient, HttpClient, HttpVersion};
+use cactusbarrow_platform::{HostList, Store};
+use cactusbarrow_policy::{
+    Candidate, CustomerTable, GenerationConfig, LoadTable, Reason, RetryBudget, Revision,
+};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::claim_owner::ClaimOwner;
+use crate::config::{Peer, RouterConfig};
+use crate::config_state::ConfigState;
+use crate::directory::Directory;
+use crate::hosts::Leaving;
+use crate::members::{MemberServer, Members};
+use crate::peers::Peers;
+
+/// Shares of customers' usage, each locked on its own.
+const CUSTOMER_SHARDS: usize = 16;
+/// Retries that each request of a service earns.
+const RETRIES_PER_REQUEST: f64 = 0.2;
+/// Retries that a service may save up.
+const MAX_SAVED_RETRIES: f64 = 50.0;
+
+/// State of one router.
+#[derive(Debug)]
+pub(crate) struct Router<S, C> {
+    pub(crate) cfg: RouterConfig,
+    pub(crate) store: S,
+    pub(crate) clock: C,
+    pub(crate) agents: HttpClient,
+    pub(crate) control: ControlClient,
+    pub(crate) config: ConfigState,
+    pub(crate) peers: Peers,
+    pub(crate) directory: Directory,
+    pub(crate) claims: ClaimOwner,
+    pub(crate) leaving: Leaving,
+    pub(crate) stop: CancellationToken,
+    pub(crate) closing: CancellationToken,
+    pub(crate) tasks: TaskTracker,
+    members: RwLock<Arc<Members>>,
+    load: Mutex<LoadTable>,
+    customers: Vec<Mutex<CustomerTable>>,
+    budgets: Mutex<HashMap<String, RetryBudget>>,
+    agent_revisions: Mutex<HashMap<String, Revision>>,
+}
+
+impl<S: Store + HostList, C: Clock> Router<S, C> {
+    /// Creates the state; nothing runs yet.
+    pub(crate) fn new(
+        cfg: RouterConfig,
+        own: Peer,
+        store: S,
+        clock: C,
+        stop: CancellationToken,
+    ) -> Self {
+        Self {
+            agents: HttpClient::new(HttpVersion::Http2),
+            control: ControlClient::new(),
+            config: ConfigState::new(),
+            peers: Peers::new(own, &cfg.seeds),
+            directory: Directory::default(),
+            claims: ClaimOwner::new(cfg.claims),
+            leaving: Leaving::default(),
+            closing: stop.child_token(),
+            tasks: TaskTracker::new(),
+            members: RwLock::default(),
+            load: Mutex::new(LoadTable::new()),
+            customers: (0..CUSTOMER_SHARDS).map(|_| Mutex::default()).collect(),
+            budgets: Mutex::default(),
+            agent_revisions: Mutex::default(),
+            cfg,
+            store,
+            clock,
+            stop,
+        }
+    }
+
+    /// Returns the subset of backend servers.
+    pub(crate) fn members(&self) -> Arc<Members> {
+        self.members
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// Selects the subset anew.
+    pub(crate) fn select_members(&self) {
+        let fleet = self.config.fleet();
+        let members = Members::select(&fleet, &self.peers, &self.cfg.subset);
+        let names: std::collections::HashSet<&str> = members.all().map(|m| m.name()).collect();
+        self.load().retain(|name| names.contains(name));
+        self.agent_revisions()
+            .retain(|name, _| names.contains(name.as_str()));
+        drop(names);
+        *self.members.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(members);
+    }
+
+    /// Chooses a backend server for a request of a service.
+    ///
+    /// `version` limits the choice to one model version; `excluded` names servers that refused.
+    pub(crate) fn choose(
+        &self,
+        service: &str,
+        version: Option<&str>,
+        prompt: Option<&[u8]>,
+        excluded: &[String],
+    ) -> Option<Arc<MemberServer>> {
+        let members = self.members();
+        let eligible: Vec<&Arc<MemberServer>> = members
+            .of_service(service)
+            .iter()
+            .filter(|m| !m.server.draining && !excluded.iter().any(|e| e == m.name()))
+            .filter(|m| version.is_none() || m.server.model_version.as_deref() == version)
+            .collect();
+        let candidates: Vec<Candidate<'_>> = eligible
+            .iter()
+            .map(|m| Candidate {
+                name: m.name(),
+                is_same_zone: m.is_same_zone,
+                limit: m.server.max_in_flight as usize,
+            })
+            .collect();
+        let now = self.clock.now();
+        let choice =
+            self.load()
+                .choose(&self.cfg.choose, &candidates, prompt, now, &mut rand::rng())?;
+        Some(eligible[choice].clone())
+    }
+
+    /// Locks the load table.
+    pub(crate) fn load(&self) -> MutexGuard<'_, LoadTable> {
+        self.load.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Locks the usage of a customer and of those that share its lock.
+    pub(crate) fn customers(&self, customer: &str) -> MutexGuard<'_, CustomerTable> {
+        let hash = cactusbarrow_policy::stable_hash(customer.as_bytes());
+        let shard = &self.customers[hash as usize % CUSTOMER_SHARDS];
+        shard.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the revision of its view that an agent last reported.
+    pub(crate) fn agent_revision(&self, name: &str) -> Revision {
+        self.agent_revisions()
+            .get(name)
+            .copied()
+            .unwrap_or_default()
+    }
+
+    /// Records the revision of its view that an agent reported.
+    pub(crate) fn set_agent_revision(&self, name: &str, revision: Revision) {
+        self.agent_revisions().insert(name.to_owned(), revision);
+    }
+
+    fn agent_revisions(&self) -> MutexGuard<'_, HashMap<String, Revision>> {
+        self.agent_revisions
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the tuning of generations of a service.
+    pub(crate) fn generation_config(&self, service: &str) -> GenerationConfig {
+        let fleet = self.config.fleet();
+        let favor = fleet.service(service).map(|service| service.favor);
+        match favor.unwrap_or_default() {
+            Preference::Latency => self.cfg.latency,
+            Preference::Resources => self.cfg.resources,
+        }
+    }
+
+    /// Records a request for the service's retry budget.
+    pub(crate) fn record_request(&self, service: &str) {
+        self.with_budget(service, RetryBudget::record_request);
+    }
+
+    /// Takes a retry from the service's budget and counts it by its reason.
+    pub(crate) fn try_retry(&self, service: &str, reason: Reason) -> bool {
+        let is_allowed = self.with_budget(service, RetryBudget::try_retry);
+        let reason = if is_allowed {
+            reason
+        } else {
+            Reason::RetryBudget
+        };
+        metrics::counter!("cactusbarrow_retries_total", "reason" => reason.as_str()).increment(1);
+        is_allowed
+    }
+
+    fn with_budget<T>(&self, service: &str, f: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        let budget = budgets
+            .entry(service.to_owned())
+            .or_insert_with(|| RetryBudget::new(RETRIES_PER_REQUEST, MAX_SAVED_RETRIES));
+        f(budget)
+    }
+}
--- /dev/null
+++ b/crates/cactusbarrow_router/src/run.rs
@@ -0,0 +1,192 @@
+//! Starts a router and stops it gracefully.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use cactusbarrow_net::{
+    Body, Clock, ControlServer, NetError, PeerAddr, ServeConfig, collect_limited, serve,
+};
+use cactusbarrow_platform::{HostList, Store};
+use cactusbarrow_policy::{Reason, Revision};
+use http::{Method, Request, Response};
+use hyper::body::Incoming;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+use tower::ServiceBuilder;
+
+use crate::auth::authenticate;
+use crate::config::{Peer, RouterConfig};
+use crate::control::RouterControl;
+use crate::overload::OverloadLayer;
+use crate::refusal::Refusal;
+use crate::request::outcome_if_unread;
+use crate::router::Router;
+use crate::{calls, completions, config_sync, gossip, hosts, poll};
+
+const COMPLETIONS_PATH: &str = "/v1/completions";
+/// Longest time for a caller to send the body of a request.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time that streams get to break off in order once the grace is over.
+const CUT_GRACE: Duration = Duration::from_secs(1);
+
+/// A running router.
+#[derive(Debug)]
+pub struct RouterHandle {
+    /// Address for callers.
+    pub listen: SocketAddr,
+    /// Address for control messages.
+    pub control: SocketAddr,
+    shutdown: CancellationToken,
+    revision: tokio::sync::watch::Receiver<Arc<cactusbarrow_document::Fleet>>,
+    done: tokio::task::JoinHandle<bool>,
+}
+
+impl RouterHandle {
+    /// Returns the revision of the configuration in force.
+    pub fn revision(&self) -> Revision {
+        self.revision.borrow().revision()
+    }
+
+    /// Returns a receiver that learns of each configuration in force.
+    pub fn revisions(&self) -> tokio::sync::watch::Receiver<Arc<cactusbarrow_document::Fleet>> {
+        self.revision.clone()
+    }
+
+    /// Waits until a revision of at least `revision` is in force.
+    pub async fn wait_for_revision(&mut self, revision: Revision) {
+        // An error means that the router is gone, and so no revision will come.
+        let _ = self
+            .revision
+            .wait_for(|fleet| fleet.revision() >= revision)
+            .await;
+    }
+
+    /// Stops gracefully; returns true if every stream ended within the grace.
+    pub async fn stop(self) -> bool {
+        self.shutdown.cancel();
+        self.done.await.unwrap_or(false)
+    }
+}
+
+/// Starts a router; it runs until it is stopped or `shutdown` is cancelled.
+pub async fn start<S: Store + HostList, C: Clock>(
+    cfg: RouterConfig,
+    store: S,
+    clock: C,
+    shutdown: CancellationToken,
+) -> Result<RouterHandle, NetError> {
+    let listener = TcpListener::bind(cfg.listen)
+        .await
+        .map_err(|e| NetError::new("listen", cfg.listen, e))?;
+    let listen = listener
+        .local_addr()
+        .map_err(|e| NetError::new("listen", cfg.listen, e))?;
+    let control = ControlServer::bind(cfg.control).await?;
+    let control_addr = control.local_addr();
+    let own = Peer {
+        name: cfg.name.clone(),
+        zone: cfg.zone.clone(),
+        control: cfg.advertised_control.unwrap_or(control_addr),
+    };
+    let stop = CancellationToken::new();
+    let router = Arc::new(Router::new(cfg, own, store, clock, stop.clone()));
+    let handler = Arc::new(RouterControl(router.clone()));
+    router.tasks.spawn(control.serve(handler, stop));
+    router.tasks.spawn(config_sync::follow(router.clone()));
+    router.tasks.spawn(hosts::follow(router.clone()));
+    router.tasks.spawn(gossip::spread(router.clone()));
+    router.tasks.spawn(poll::poll(router.clone()));
+    let revision = router.config.subscribe();
+    let done = tokio::spawn(run(router, listener, shutdown.clone()));
+    Ok(RouterHandle {
+        listen,
+        control: control_addr,
+        shutdown,
+        revision,
+        done,
+    })
+}
+
+async fn run<S: Store + HostList, C: Clock>(
+    router: Arc<Router<S, C>>,
+    listener: TcpListener,
+    shutdown: CancellationToken,
+) -> bool {
+    let cfg = ServeConfig {
+        grace: router.cfg.grace + CUT_GRACE,
+        ..ServeConfig::default()
+    };
+    let closing = router.closing.clone();
+    let grace = router.cfg.grace;
+    let cut = async {
+        shutdown.cancelled().await;
+        tokio::time::sleep(grace).await;
+        closing.cancel();
+        std::future::pending::<()>().await;
+    };
+    let handler = router.clone();
+    let service = ServiceBuilder::new()
+        .layer(OverloadLayer::new(router.cfg.max_in_flight))
+        .service_fn(move |req| {
+            let router = handler.clone();
+            async move { Ok::<_, Infallible>(handle(&router, req).await) }
+        });
+    let is_clean = tokio::select! {
+        is_clean = serve(listener, service, cfg, shutdown.clone()) => is_clean,
+        () = cut => false,
+    };
+    router.stop.cancel();
+    router.tasks.close();
+    is_clean
+}
+
+async fn handle<S: Store + HostList, C: Clock>(
+    router: &Arc<Router<S, C>>,
+    req: Request<Incoming>,
+) -> Response<Body> {
+    let arrived = router.clock.now();
+    match answer(router, req, arrived).await {
+        Ok(res) => res,
+        Err(refusal) => refusal.into_response(),
+    }
+}
+
+async fn answer<S: Store + HostList, C: Clock>(
+    router: &Arc<Router<S, C>>,
+    req: Request<Incoming>,
+    arrived: Instant,
+) -> Result<Response<Body>, Refusal> {
+    let fleet = router.config.fleet();
+    let outcome = outcome_if_unread(req.headers());
+    let unread = |reason, step| Refusal::new(outcome, reason, step);
+    if fleet.revision() == Revision(0) {
+        return Err(unread(Reason::NoConfiguration, "find configuration"));
+    }
+    let peer = req
+        .extensions()
+        .get::<PeerAddr>()
+        .map_or_else(String::new, |peer| peer.0.to_string());
+    let (parts, body) = req.into_parts();
+    let customer = authenticate(&fleet, &parts.headers)?;
+    let body = collect_limited(body, router.cfg.max_body_bytes, &peer);
+    let body = match tokio::time::timeout(BODY_TIMEOUT, body).await {
+        Ok(Ok(Some(body))) => body,
+        Ok(Ok(None)) => {
+            let limit = router.cfg.max_body_bytes;
+            return Err(unread(Reason::TooLarge, "read body")
+                .because(format!("the body is larger than {limit} bytes")));
+        }
+        Ok(Err(e)) => return Err(unread(Reason::BadRequest, "read body").because(e)),
+        Err(_) => {
+            return Err(unread(Reason::BadRequest, "read body")
+                .because("the body did not arrive within 10 s"));
+        }
+    };
+    if parts.uri.path() == COMPLETIONS_PATH && parts.method == Method::POST {
+        completions::complete(router, &fleet, customer, &parts.headers, body).await
+    } else {
+        calls::call(router, &fleet, &customer, &parts, body, arrived).await
+    }
+}
--- /dev/null
+++ b/crates/cactusbarrow_router/src/sink.rs
@@ -0,0 +1,288 @@
+//! Where a generation's tokens go: a stream of events, or one whole answer.
+
+use std::future::Future;
+use std::ops::Range;
+use std::time::Duration;
+
+use cactusbarrow_net::{Body, BodySender};
+use cactusbarrow_policy::{AttemptNumber, EndReason, GenerationId, TokenBuffer, Utf8Assembler};
+use http::{HeaderValue, Response, header};
+use serde::Serialize;
+use tokio::sync::oneshot;
+
+use crate::event_id::EventId;
+use crate::refusal::Refusal;
+
+/// Which attempt tokens come from, and where.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Source<'a> {
+    pub(crate) attempt: AttemptNumber,
+    pub(crate) backend_server: &'a str,
+}
+
+/// Takes the tokens of one generation.
+pub(crate) trait Sink: Send + 'static {
+    /// Takes the tokens of a range; returns false if the caller is gone.
+    fn tokens(
+        &mut self,
+        tokens: &TokenBuffer,
+        range: Range<usize>,
+        source: Source<'_>,
+    ) -> impl Future<Output = bool> + Send;
+
+    /// Ends the answer.
+    fn finish(&mut self, reason: EndReason) -> impl Future<Output = ()> + Send;
+
+    /// Ends the answer with a failure.
+    fn fail(&mut self, refusal: Refusal) -> impl Future<Output = ()> + Send;
+
+    /// Breaks the answer off, so that the caller comes back for the rest.
+    fn cut(&mut self) -> impl Future<Output = ()> + Send;
+
+    /// Completes when the caller is gone.
+    fn closed(&mut self) -> impl Future<Output = ()> + Send;
+}
+
+#[derive(Serialize)]
+struct CompletionChunk<'a> {
+    id: String,
+    object: &'a str,
+    model: &'a str,
+    choices: [CompletionChoice<'a>; 1],
+}
+
+#[derive(Serialize)]
+struct CompletionChoice<'a> {
+    index: u32,
+    text: &'a str,
+    token_ids: &'a [u32],
+    finish_reason: Option<&'a str>,
+}
+
+/// What every chunk of an answer says.
+#[derive(Clone, Debug)]
+pub(crate) struct AnswerHead {
+    pub(crate) generation: GenerationId,
+    pub(crate) model: String,
+}
+
+impl AnswerHead {
+    fn chunk(&self, text: &str, token_ids: &[u32], finish: Option<EndReason>) -> String {
+        let finish_reason = finish.map(|reason| match reason {
+            EndReason::Stop => "stop",
+            EndReason::Length => "length",
+        });
+        let chunk = CompletionChunk {
+            id: format!("cmpl-{}", self.generation),
+            object: "text_completion",
+            model: &self.model,
+            choices: [CompletionChoice {
+                index: 0,
+                text,
+                token_ids,
+                finish_reason,
+            }],
+        };
+        serde_json::to_string(&chunk).unwrap_or_default()
+    }
+}
+
+enum SseState {
+    /// The head of the response is not sent yet.
+    Head(oneshot::Sender<Response<Body>>),
+    Open(BodySender),
+    Closed,
+}
+
+/// Streams server-sent events; each ends at a whole character and carries an [`EventId`].
+pub(crate) struct SseSink {
+    head: AnswerHead,
+    state: SseState,
+    stall: Duration,
+    text: Utf8Assembler,
+    pending_text: String,
+    pending_ids: Vec<u32>,
+}
+
+impl SseSink {
+    /// Creates a sink; the response comes through the receiver once its head is known.
+    ///
+    /// A caller that reads nothing for `stall` is taken for gone.
+    pub(crate) fn new(
+        head: AnswerHead,
+        stall: Duration,
+    ) -> (Self, oneshot::Receiver<Response<Body>>) {
+        let (tx, rx) = oneshot::channel();
+        let sink = Self {
+            head,
+            state: SseState::Head(tx),
+            stall,
+            text: Utf8Assembler::new(),
+            pending_text: String::new(),
+            pending_ids: Vec::new(),
+        };
+        (sink, rx)
+    }
+
+    async fn send(&mut self, event: String) -> bool {
+        if matches!(self.state, SseState::Head(_)) {
+            self.open();
+        }
+        let SseState::Open(tx) = &self.state else {
+            return false;
+        };
+        let is_sent = tokio::time::timeout(self.stall, tx.send(event.into()))
+            .await
+            .unwrap_or(false);
+        if !is_sent {
+            self.state = SseState::Closed;
+        }
+        is_sent
+    }
+
+    fn open(&mut self) {
+        let SseState::Head(head) = std::mem::replace(&mut self.state, SseState::Closed) else {
+            return;
+        };
+        let (tx, body) = Body::channel();
+        let mut res = Response::new(body);
+        let headers = res.headers_mut();
+        let event_stream = HeaderValue::from_static("text/event-stream");
+        headers.insert(header::CONTENT_TYPE, event_stream);
+        let no_cache = HeaderValue::from_static("no-cache");
+        headers.insert(header::CACHE_CONTROL, no_cache);
+        if head.send(res).is_ok() {
+            self.state = SseState::Open(tx);
+        }
+    }
+}
+
+impl Sink for SseSink {
+    async fn tokens(
+        &mut self,
+        tokens: &TokenBuffer,
+        range: Range<usize>,
+        source: Source<'_>,
+    ) -> bool {
+        let position = range.end;
+        self.pending_text += &self.text.push(tokens.range_bytes(range.clone()));
+        self.pending_ids.extend_from_slice(&tokens.ids()[range]);
+        if !self.text.is_at_boundary() {
+            return true;
+        }
+        let id = EventId {
+            generation: self.head.generation,
+            attempt: source.attempt,
+            position,
+            backend_server: source.backend_server.to_owned(),
+        };
+        let data = self.head.chunk(&self.pending_text, &self.pending_ids, None);
+        self.pending_text.clear();
+        self.pending_ids.clear();
+        self.send(format!("id: {id}\ndata: {data}\n\n")).await
+    }
+
+    async fn finish(&mut self, reason: EndReason) {
+        let rest = self.text.finish();
+        self.pending_text += &rest;
+        let data = self
+            .head
+            .chunk(&self.pending_text, &self.pending_ids, Some(reason));
+        self.send(format!("data: {data}\n\ndata: [DONE]\n\n")).await;
+        self.state = SseState::Closed;
+    }
+
+    async fn fail(&mut self, refusal: Refusal) {
+        match std::mem::replace(&mut self.state, SseState::Closed) {
+            SseState::Head(head) => {
+                // A caller that is gone needs no answer.
+                let _ = head.send(refusal.into_response());
+            }
+            SseState::Open(tx) => {
+                refusal.count();
+                let event = format!("event: error\ndata: {}\n\n", refusal.to_json());
+                let _ = tokio::time::timeout(self.stall, tx.send(event.into())).await;
+            }
+            SseState::Closed => {}
+        }
+    }
+
+    async fn cut(&mut self) {
+        if let SseState::Open(tx) = std::mem::replace(&mut self.state, SseState::Closed) {
+            let _ = tokio::time::timeout(self.stall, tx.cut()).await;
+        }
+    }
+
+    async fn closed(&mut self) {
+        match &mut self.state {
+            SseState::Head(head) => head.closed().await,
+            SseState::Open(tx) => tx.closed().await,
+            SseState::Closed => {}
+        }
+    }
+}
+
+/// Collects a whole answer.
+pub(crate) struct WholeSink {
+    head: AnswerHead,
+    response: Option<oneshot::Sender<Response<Body>>>,
+    text: Utf8Assembler,
+    collected: String,
+    token_ids: Vec<u32>,
+}
+
+impl WholeSink {
+    /// Creates a sink; the response comes through the receiver at the end.
+    pub(crate) fn new(head: AnswerHead) -> (Self, oneshot::Receiver<Response<Body>>) {
+        let (tx, rx) = oneshot::channel();
+        let sink = Self {
+            head,
+            response: Some(tx),
+            text: Utf8Assembler::new(),
+            collected: String::new(),
+            token_ids: Vec::new(),
+        };
+        (sink, rx)
+    }
+
+    fn respond(&mut self, res: Response<Body>) {
+        if let Some(tx) = self.response.take() {
+            // A caller that is gone needs no answer.
+            let _ = tx.send(res);
+        }
+    }
+}
+
+impl Sink for WholeSink {
+    async fn tokens(&mut self, tokens: &TokenBuffer, range: Range<usize>, _: Source<'_>) -> bool {
+        self.collected += &self.text.push(tokens.range_bytes(range.clone()));
+        self.token_ids.extend_from_slice(&tokens.ids()[range]);
+        true
+    }
+
+    async fn finish(&mut self, reason: EndReason) {
+        let rest = self.text.finish();
+        self.collected += &rest;
+        let data = self
+            .head
+            .chunk(&self.collected, &self.token_ids, Some(reason));
+        let mut res = Response::new(Body::full(data));
+        let json = HeaderValue::from_static("application/json");
+        res.headers_mut().insert(header::CONTENT_TYPE, json);
+        self.respond(res);
+    }
+
+    async fn fail(&mut self, refusal: Refusal) {
+        self.respond(refusal.into_response());
+    }
+
+    async fn cut(&mut self) {
+        self.response = None;
+    }
+
+    async fn closed(&mut self) {
+        if let Some(tx) = &mut self.response {
+            tx.closed().await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/cactusbarrow_standins/src/caller.rs
@@ -0,0 +1,201 @@
+//! A caller as customers write them: reads a stream, and comes back for the rest.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use cactusbarrow_net::{Body, HttpClient, HttpVersion, NetError, SseDecoder};
+use http::{HeaderMap, Method, Request, Response, header};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use serde::Deserialize;
+
+const ANSWER_LIMIT: usize = 64 << 20;
+
+/// Makes requests of one customer.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    http: HttpClient,
+    token: String,
+}
+
+/// What a caller has of a generation.
+#[derive(Clone, Debug, Default)]
+pub struct Transcript {
+    /// Token ids in the order of arrival.
+    pub tokens: Vec<u32>,
+    /// Text in the order of arrival.
+    pub text: String,
+    /// Identifier of the last event.
+    pub last_event_id: Option<String>,
+    /// When tokens arrived, and how many there were then.
+    pub arrivals: Vec<(Instant, usize)>,
+    /// Why the generation ended, if it has.
+    pub finish_reason: Option<String>,
+}
+
+/// How one connection to a router ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StreamEnd {
+    /// The generation is complete.
+    Done,
+    /// The connection broke; the rest can be had elsewhere.
+    Broken,
+    /// The router refused or gave up; its answer.
+    Refused(String),
+}
+
+/// Reads one stream into a transcript.
+#[derive(Debug)]
+pub struct StreamReader {
+    body: Incoming,
+    decoder: SseDecoder,
+}
+
+#[derive(Deserialize)]
+struct Chunk {
+    choices: Vec<Choice>,
+}
+
+#[derive(Deserialize)]
+struct Choice {
+    text: String,
+    token_ids: Vec<u32>,
+    finish_reason: Option<String>,
+}
+
+impl Caller {
+    /// Creates a caller with an API key.
+    pub fn new(api_key: &str) -> Self {
+        Self {
+            http: HttpClient::new(HttpVersion::Http1),
+            token: format!("Bearer {api_key}"),
+        }
+    }
+
+    /// Sends a request and reads the whole answer.
+    pub async fn send(
+        &self,
+        router: SocketAddr,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+        timeout: Duration,
+    ) -> Result<Response<Bytes>, NetError> {
+        let req = self.request(router, method, path, headers, body);
+        self.http
+            .send_whole("call router", req, timeout, ANSWER_LIMIT)
+            .await
+    }
+
+    /// Opens a stream of completions, after the last event of the transcript if there is one.
+    ///
+    /// Returns the stream, or how it ended before it began.
+    pub async fn open(
+        &self,
+        router: SocketAddr,
+        headers: &[(&str, &str)],
+        body: &str,
+        transcript: &Transcript,
+    ) -> Result<StreamReader, StreamEnd> {
+        let mut headers = headers.to_vec();
+        if let Some(id) = &transcript.last_event_id {
+            headers.push(("last-event-id", id));
+        }
+        let req = self.request(router, Method::POST, "/v1/completions", &headers, body);
+        let res = self
+            .http
+            .send("open stream", req)
+            .await
+            .map_err(|_| StreamEnd::Broken)?;
+        if res.status().is_success() {
+            return Ok(StreamReader {
+                body: res.into_body(),
+                decoder: SseDecoder::default(),
+            });
+        }
+        let text = match res.into_body().collect().await {
+            Ok(body) => String::from_utf8_lossy(&body.to_bytes()).into_owned(),
+            Err(_) => return Err(StreamEnd::Broken),
+        };
+        Err(StreamEnd::Refused(text))
+    }
+
+    fn request(
+        &self,
+        router: SocketAddr,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Request<Body> {
+        let mut map = HeaderMap::new();
+        for (name, value) in headers {
+            let name = header::HeaderName::try_from(*name).expect("a valid header name");
+            map.insert(name, value.parse().expect("a valid header value"));
+        }
+        map.insert(header::AUTHORIZATION, self.token.parse().expect("a token"));
+        let mut req = Request::builder()
+            .method(method)
+            .uri(format!("http://{router}{path}"))
+            .body(Body::full(body.to_owned()))
+            .expect("a valid request");
+        *req.headers_mut() = map;
+        req
+    }
+}
+
+impl StreamReader {
+    /// Reads until the stream ends, adding to the transcript.
+    pub async fn read(&mut self, transcript: &mut Transcript) -> StreamEnd {
+        loop {
+            match self.decoder.next_event() {
+                Ok(Some(event)) if event.event == "error" => {
+                    return StreamEnd::Refused(event.data);
+                }
+                Ok(Some(event)) if event.data == "[DONE]" => return StreamEnd::Done,
+                Ok(Some(event)) => {
+                    if event.id.is_some() {
+                        transcript.last_event_id = event.id;
+                    }
+                    transcript.add(&event.data);
+                    continue;
+                }
+                Ok(None) => {}
+                Err(e) => return StreamEnd::Refused(e.to_string()),
+            }
+            match self.body.frame().await {
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        self.decoder.push(&data);
+                    }
+                }
+                Some(Err(_)) | None => return StreamEnd::Broken,
+            }
+        }
+    }
+}
+
+impl Transcript {
+    /// Returns the longest time between arrivals that ends after `since`.
+    pub fn longest_gap_after(&self, since: Instant) -> Option<Duration> {
+        self.arrivals
+            .windows(2)
+            .filter(|pair| pair[1].0 >= since)
+            .map(|pair| pair[1].0 - pair[0].0)
+            .max()
+    }
+
+    fn add(&mut self, data: &str) {
+        let Ok(chunk) = serde_json::from_str::<Chunk>(data) else {
+            return;
+        };
+        for choice in chunk.choices {
+            self.text += &choice.text;
+            self.tokens.extend_from_slice(&choice.token_ids);
+            self.finish_reason = choice.finish_reason.or(self.finish_reason.take());
+        }
+        self.arrivals.push((Instant::now(), self.tokens.len()));
+    }
+}
--- /dev/null
+++ b/crates/cactusbarrow_standins/src/engine.rs
@@ -0,0 +1,323 @@
+//! Stand-in of a model engine: streaming completions with token ids.
+
+use std::collections::VecDeque;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use cactusbarrow_net::{Body, BodySender, ServeConfig, collect_limited, serve};
+use cactusbarrow_policy::stable_hash;
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use serde::{Deserialize, Serialize};
+use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
+use tokio_util::sync::CancellationToken;
+
+use crate::host::Host;
+use crate::ledger::{Ledger, token_at, token_bytes};
+
+const MAX_BODY_BYTES: usize = 8 << 20;
+/// Length of the prompt that the prefix cache looks at, in bytes.
+const CACHED_PREFIX_BYTES: usize = 256;
+
+/// Settings of a stand-in engine.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EngineConfig {
+    /// Address to listen on.
+    pub listen: SocketAddr,
+    /// The model version it has loaded at its start.
+    pub model_version: Option<String>,
+    /// Time between tokens.
+    pub token_interval: Duration,
+    /// Time to the first token if the prompt is not cached.
+    pub prefill: Duration,
+    /// Time to the first token if the prompt is cached.
+    pub cached_prefill: Duration,
+    /// Prompt prefixes that the cache holds.
+    pub cache_entries: usize,
+    /// Requests that run at once; others wait.
+    pub slots: usize,
+    /// Whether it refuses orders with an old fencing number.
+    pub checks_fencing: bool,
+    /// Time that an order to load a version takes.
+    pub load_time: Duration,
+}
+
+impl EngineConfig {
+    /// Returns settings of a fast engine on a free port of loopback.
+    pub fn new(model_version: &str) -> Self {
+        Self {
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            model_version: Some(model_version.to_owned()),
+            token_interval: Duration::from_millis(20),
+            prefill: Duration::from_millis(60),
+            cached_prefill: Duration::from_millis(15),
+            cache_entries: 16,
+            slots: 64,
+            checks_fencing: true,
+            load_time: Duration::from_millis(200),
+        }
+    }
+}
+
+/// Counts of a stand-in engine.
+#[derive(Debug, Default)]
+pub struct EngineStats {
+    /// Requests started.
+    pub started: AtomicUsize,
+    /// Requests running.
+    pub running: AtomicUsize,
+    /// Requests whose prompt was cached.
+    pub cache_hits: AtomicUsize,
+    /// Orders obeyed.
+    pub loads: AtomicUsize,
+}
+
+#[derive(Debug)]
+struct State {
+    cfg: EngineConfig,
+    ledger: Ledger,
+    stats: Arc<EngineStats>,
+    slots: Semaphore,
+    cache: Mutex<VecDeque<u64>>,
+    loaded: Mutex<Loaded>,
+    next_salt: AtomicU64,
+}
+
+#[derive(Debug)]
+struct Loaded {
+    version: Option<String>,
+    fence: u64,
+}
+
+/// A running stand-in engine on a host of its own.
+#[derive(Debug)]
+pub struct Engine {
+    /// Address it listens on.
+    pub addr: SocketAddr,
+    /// Its counts.
+    pub stats: Arc<EngineStats>,
+    /// Its host, to be killed or frozen.
+    pub host: Host,
+}
+
+#[derive(Deserialize)]
+struct CompletionBody {
+    prompt: String,
+    max_tokens: u32,
+    seed: u64,
+    model_version: String,
+    #[serde(default)]
+    resume_token_ids: Vec<u32>,
+}
+
+#[derive(Deserialize)]
+struct LoadBody {
+    model_version: String,
+    fencing_number: u64,
+}
+
+#[derive(Serialize)]
+struct Chunk {
+    choices: [Choice; 1],
+}
+
+#[derive(Serialize)]
+struct Choice {
+    token_ids: Vec<u32>,
+    logprobs: Logprobs,
+    finish_reason: Option<&'static str>,
+}
+
+#[derive(Serialize)]
+struct Logprobs {
+    content: Vec<TokenBytes>,
+}
+
+#[derive(Serialize)]
+struct TokenBytes {
+    bytes: Vec<u8>,
+}
+
+impl Engine {
+    /// Starts an engine; its runs are salted by `salt`, so that no two runs are alike.
+    pub async fn start(cfg: EngineConfig, ledger: Ledger, salt: u64) -> Self {
+        let stats = Arc::new(EngineStats::default());
+        let state = Arc::new(State {
+            slots: Semaphore::new(cfg.slots),
+            loaded: Mutex::new(Loaded {
+                version: cfg.model_version.clone(),
+                fence: 0,
+            }),
+            cfg,
+            ledger,
+            stats: stats.clone(),
+            cache: Mutex::default(),
+            next_salt: AtomicU64::new(salt << 32),
+        });
+        let (host, addr) = Host::start(async move {
+            let listener = TcpListener::bind(state.cfg.listen)
+                .await
+                .expect("the engine's address is free");
+            let addr = listener.local_addr().expect("a bound listener");
+            let service = tower::service_fn(move |req| {
+                let state = state.clone();
+                async move { Ok::<_, Infallible>(handle(state, req).await) }
+            });
+            let cfg = ServeConfig::default();
+            tokio::spawn(serve(listener, service, cfg, CancellationToken::new()));
+            addr
+        })
+        .await;
+        Self { addr, stats, host }
+    }
+}
+
+impl State {
+    fn loaded(&self) -> MutexGuard<'_, Loaded> {
+        self.loaded.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Looks a prompt up in the cache and puts it in front.
+    fn is_cached(&self, prompt: &str) -> bool {
+        let prefix = &prompt.as_bytes()[..prompt.len().min(CACHED_PREFIX_BYTES)];
+        let key = stable_hash(prefix);
+        let mut cache = self.cache.lock().unwrap_or_else(PoisonError::into_inner);
+        let found = cache.iter().position(|k| *k == key);
+        if let Some(i) = found {
+            cache.remove(i);
+        }
+        cache.push_front(key);
+        cache.truncate(self.cfg.cache_entries);
+        found.is_some()
+    }
+}
+
+async fn handle(state: Arc<State>, req: Request<Incoming>) -> Response<Body> {
+    let path = req.uri().path().to_owned();
+    let body = collect_limited(req.into_body(), MAX_BODY_BYTES, "caller").await;
+    let Ok(Some(body)) = body else {
+        return status(StatusCode::BAD_REQUEST);
+    };
+    match path.as_str() {
+        "/v1/completions" => match serde_json::from_slice(&body) {
+            Ok(body) => complete(state, body),
+            Err(_) => status(StatusCode::BAD_REQUEST),
+        },
+        "/load" => match serde_json::from_slice(&body) {
+            Ok(body) => load(&state, body).await,
+            Err(_) => status(StatusCode::BAD_REQUEST),
+        },
+        "/state" => {
+            let version = state.loaded().version.clone();
+            let running = state.stats.running.load(Ordering::Relaxed);
+            let json = serde_json::json!({"model_version": version, "running": running});
+            Response::new(Body::full(json.to_string()))
+        }
+        _ => status(StatusCode::NOT_FOUND),
+    }
+}
+
+fn status(status: StatusCode) -> Response<Body> {
+    let mut res = Response::new(Body::Empty);
+    *res.status_mut() = status;
+    res
+}
+
+async fn load(state: &State, body: LoadBody) -> Response<Body> {
+    {
+        let mut loaded = state.loaded();
+        if state.cfg.checks_fencing && body.fencing_number < loaded.fence {
+            return status(StatusCode::CONFLICT);
+        }
+        loaded.fence = body.fencing_number;
+        loaded.version = None;
+    }
+    tokio::time::sleep(state.cfg.load_time).await;
+    state.loaded().version = Some(body.model_version);
+    state.stats.loads.fetch_add(1, Ordering::Relaxed);
+    status(StatusCode::OK)
+}
+
+fn complete(state: Arc<State>, req: CompletionBody) -> Response<Body> {
+    if state.loaded().version.as_deref() != Some(&req.model_version) {
+        return status(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    let (tx, body) = Body::channel();
+    tokio::spawn(async move {
+        tokio::select! {
+            () = tx.closed() => {}
+            () = generate(&state, req, &tx) => {}
+        }
+    });
+    Response::new(body)
+}
+
+/// Counts a running request while it lives.
+struct RunningGuard<'a>(&'a EngineStats);
+
+impl Drop for RunningGuard<'_> {
+    fn drop(&mut self) {
+        self.0.running.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+async fn generate(state: &State, req: CompletionBody, tx: &BodySender) {
+    let Ok(_slot) = state.slots.acquire().await else {
+        return;
+    };
+    state.stats.started.fetch_add(1, Ordering::Relaxed);
+    state.stats.running.fetch_add(1, Ordering::Relaxed);
+    let _running = RunningGuard(&state.stats);
+    let is_cached = state.is_cached(&req.prompt);
+    if is_cached {
+        state.stats.cache_hits.fetch_add(1, Ordering::Relaxed);
+    }
+    tokio::time::sleep(if is_cached {
+        state.cfg.cached_prefill
+    } else {
+        state.cfg.prefill
+    })
+    .await;
+    let salt = state.next_salt.fetch_add(1, Ordering::Relaxed);
+    let mut sequence = Ledger::seed(&req.prompt, req.seed);
+    for token in &req.resume_token_ids {
+        sequence = Ledger::extend(sequence, *token);
+    }
+    let first = req.resume_token_ids.len() as u32;
+    let mut ticks = tokio::time::interval(state.cfg.token_interval);
+    for offset in first..req.max_tokens {
+        ticks.tick().await;
+        let token = token_at(offset, salt);
+        sequence = Ledger::extend(sequence, token);
+        state.ledger.record(sequence);
+        let is_last = offset + 1 == req.max_tokens;
+        if !tx.send(chunk(token, is_last).into()).await {
+            return;
+        }
+    }
+    if first >= req.max_tokens {
+        let end = "data: {\"choices\":[{\"token_ids\":[],\"finish_reason\":\"length\"}]}\n\n";
+        tx.send(end.into()).await;
+    }
+    tx.send("data: [DONE]\n\n".into()).await;
+}
+
+fn chunk(token: u32, is_last: bool) -> String {
+    let chunk = Chunk {
+        choices: [Choice {
+            token_ids: vec![token],
+            logprobs: Logprobs {
+                content: vec![TokenBytes {
+                    bytes: token_bytes(token),
+                }],
+            },
+            finish_reason: is_last.then_some("length"),
+        }],
+    };
+    let json = serde_json::to_string(&chunk).unwrap_or_default();
+    format!("data: {json}\n\n")
+}
--- /dev/null
+++ b/crates/cactusbarrow_standins/src/host.rs
@@ -0,0 +1,78 @@
+//! One process's worth of tasks on a thread of its own, which can be killed or frozen.
+
+use std::future::Future;
+use std::thread;
+use std::time::Duration;
+
+use tokio::runtime::{Builder, Handle};
+use tokio_util::sync::CancellationToken;
+
+/// A runtime on one thread.
+///
+/// Killing it drops all its tasks and closes their sockets, as the end of a
+/// process does. Freezing it stops all of them while their sockets stay open.
+#[derive(Debug)]
+pub struct Host {
+    handle: Handle,
+    kill: CancellationToken,
+    thread: Option<thread::JoinHandle<()>>,
+}
+
+impl Host {
+    /// Starts a host and runs `start` on it; returns when that is done.
+    pub async fn start<T, F>(start: F) -> (Self, T)
+    where
+        F: Future<Output = T> + Send + 'static,
+        T: Send + 'static,
+    {
+        let (handle_tx, handle_rx) = tokio::sync::oneshot::channel();
+        let kill = CancellationToken::new();
+        let killed = kill.clone();
+        let thread = thread::spawn(move || {
+            let runtime = Builder::new_current_thread()
+                .enable_all()
+                .build()
+                .expect("a runtime can be built");
+            // The starter waits for the handle until it is there.
+            let _ = handle_tx.send(runtime.handle().clone());
+            runtime.block_on(killed.cancelled());
+            runtime.shutdown_background();
+        });
+        let handle = handle_rx.await.expect("the thread sends its handle");
+        let value = handle.spawn(start).await.expect("the start does not panic");
+        let host = Self {
+            handle,
+            kill,
+            thread: Some(thread),
+        };
+        (host, value)
+    }
+
+    /// Runs a future on the host.
+    pub fn spawn<F>(&self, future: F) -> tokio::task::JoinHandle<F::Output>
+    where
+        F: Future + Send + 'static,
+        F::Output: Send + 'static,
+    {
+        self.handle.spawn(future)
+    }
+
+    /// Ends the host at once.
+    pub fn kill(&self) {
+        self.kill.cancel();
+    }
+
+    /// Freezes the host for a time.
+    pub fn freeze(&self, time: Duration) {
+        self.handle.spawn(async move { thread::sleep(time) });
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        self.kill();
+        if let Some(thread) = self.thread.take() {
+            drop(thread);
+        }
+    }
+}
--- /dev/null
+++ b/crates/cactusbarrow_standins/src/plain_service.rs
@@ -0,0 +1,113 @@
+//! Stand-in of a plain service whose calls leave a trace.
+
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use cactusbarrow_net::{Body, ServeConfig, collect_limited, serve};
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+use crate::host::Host;
+
+const MAX_BODY_BYTES: usize = 1 << 20;
+
+/// When each call was run, by the call's body.
+#[derive(Clone, Debug, Default)]
+pub struct CallLedger {
+    runs: Arc<Mutex<HashMap<String, Vec<Instant>>>>,
+}
+
+impl CallLedger {
+    /// Returns when a call was run.
+    pub fn runs_of(&self, call: &str) -> Vec<Instant> {
+        self.lock().get(call).cloned().unwrap_or_default()
+    }
+
+    /// Returns the number of runs of all calls.
+    pub fn total_runs(&self) -> usize {
+        self.lock().values().map(Vec::len).sum()
+    }
+
+    /// Returns the time of the last run of any call.
+    pub fn last_run(&self) -> Option<Instant> {
+        self.lock().values().flatten().max().copied()
+    }
+
+    fn record(&self, call: String) {
+        self.lock().entry(call).or_default().push(Instant::now());
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<String, Vec<Instant>>> {
+        self.runs.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Settings of a stand-in service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PlainServiceConfig {
+    /// Address to listen on.
+    pub listen: SocketAddr,
+    /// Time that a call takes before it is run.
+    pub delay: Duration,
+}
+
+/// A running stand-in service on a host of its own.
+#[derive(Debug)]
+pub struct PlainService {
+    /// Address it listens on.
+    pub addr: SocketAddr,
+    /// Its host, to be killed or frozen.
+    pub host: Host,
+}
+
+impl PlainService {
+    /// Starts a service; every POST is recorded as run.
+    pub async fn start(cfg: PlainServiceConfig, ledger: CallLedger) -> Self {
+        let (host, addr) = Host::start(async move {
+            let listener = TcpListener::bind(cfg.listen)
+                .await
+                .expect("the service's address is free");
+            let addr = listener.local_addr().expect("a bound listener");
+            let service = tower::service_fn(move |req| {
+                let ledger = ledger.clone();
+                async move { Ok::<_, Infallible>(handle(cfg, ledger, req).await) }
+            });
+            let serve_cfg = ServeConfig::default();
+            tokio::spawn(serve(
+                listener,
+                service,
+                serve_cfg,
+                CancellationToken::new(),
+            ));
+            addr
+        })
+        .await;
+        Self { addr, host }
+    }
+}
+
+async fn handle(
+    cfg: PlainServiceConfig,
+    ledger: CallLedger,
+    req: Request<Incoming>,
+) -> Response<Body> {
+    let method = req.method().clone();
+    let body = collect_limited(req.into_body(), MAX_BODY_BYTES, "caller").await;
+    let Ok(Some(body)) = body else {
+        let mut res = Response::new(Body::Empty);
+        *res.status_mut() = StatusCode::BAD_REQUEST;
+        return res;
+    };
+    let call = String::from_utf8_lossy(&body).into_owned();
+    if method != Method::POST {
+        return Response::new(Body::full("ok"));
+    }
+    tokio::time::sleep(cfg.delay).await;
+    ledger.record(call.clone());
+    Response::new(Body::full(format!("done {call}")))
+}
--- /dev/null
+++ b/src/bin/cactusbarrow.rs
@@ -0,0 +1,7 @@
+//! The operators' client; see `cactusbarrow --help`.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    cactusbarrow_client::main()
+}
--- /dev/null
+++ b/src/bin/cactusbarrowd.rs
@@ -0,0 +1,7 @@
+//! The daemon; see `cactusbarrowd --help`.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    cactusbarrow_daemon::main()
+}
--- /dev/null
+++ b/tests/processes.rs
@@ -0,0 +1,186 @@
+//! The whole path as separate processes: client, router, agents, stand-ins around them.
+
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output};
+use std::time::Duration;
+
+use cactusbarrow_document::hash_api_key;
+use cactusbarrow_standins::{
+    Caller, Cluster, ConsulServer, Engine, EngineConfig, Ledger, StreamEnd, Transcript,
+};
+
+const API_KEY: &str = "secret-of-processes";
+const VERSION: &str = "captions-v1";
+const TOKENS: usize = 120;
+
+/// A process that is ended with the test.
+struct Process(Child);
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+impl Process {
+    fn start(role: &str, settings: &Path) -> Self {
+        let child = Command::new(env!("CARGO_BIN_EXE_cactusbarrowd"))
+            .args([role, "--settings"])
+            .arg(settings)
+            .spawn()
+            .expect("the daemon starts");
+        Self(child)
+    }
+
+    fn terminate(&mut self) -> i32 {
+        Command::new("kill")
+            .args(["-TERM", &self.0.id().to_string()])
+            .status()
+            .expect("a signal can be sent");
+        self.0.wait().expect("the daemon ends").code().unwrap_or(-1)
+    }
+}
+
+fn free_addr() -> SocketAddr {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
+    listener.local_addr().expect("a bound listener")
+}
+
+fn write(name: &str, text: &str) -> PathBuf {
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, text).expect("a file can be written");
+    path
+}
+
+fn client(store: SocketAddr, args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_cactusbarrow"))
+        .args(["--store", &store.to_string(), "--json"])
+        .args(args)
+        .output()
+        .expect("the client runs")
+}
+
+/// An agent's process with its addresses.
+struct Agent {
+    process: Process,
+    listen: SocketAddr,
+    control: SocketAddr,
+}
+
+fn start_agent(name: &str, backend: SocketAddr) -> Agent {
+    let (listen, control, admin) = (free_addr(), free_addr(), free_addr());
+    let settings = format!(
+        "name: {name}\nlisten: {listen}\ncontrol: {control}\nadmin: {admin}\n\
+         backend: {backend}\nkind: engine\nlog_level: warn\n"
+    );
+    let file = write(&format!("{name}.yaml"), &settings);
+    Agent {
+        process: Process::start("agent", &file),
+        listen,
+        control,
+    }
+}
+
+fn document(agents: &[(&str, &Agent)]) -> String {
+    let mut text = format!(
+        "service:\n  name: captions\n  protocol: completions\n  model: captions\n  \
+         versions:\n    - model_version: {VERSION}\n      weight: 10000\n\
+         ---\nmodel_version:\n  name: {VERSION}\n  model: captions\n  weights: store/captions-v1\n\
+         ---\ncustomer:\n  name: isobar\n  key_sha256: {}\n  max_in_flight: 100\n  \
+         tokens_per_second: 100000\n",
+        hash_api_key(API_KEY)
+    );
+    for (name, agent) in agents {
+        text += &format!(
+            "---\nbackend_server:\n  name: {name}\n  service: captions\n  zone: zone-a\n  \
+             agent_address: {}\n  control_address: {}\n  model_version: {VERSION}\n  \
+             max_in_flight: 16\n",
+            agent.listen, agent.control
+        );
+    }
+    text
+}
+
+async fn wait_ready(admin: SocketAddr) {
+    let caller = Caller::new("");
+    for _ in 0..200 {
+        let wait = Duration::from_millis(500);
+        let ready = caller
+            .send(admin, http_get(), "/readyz", &[], "", wait)
+            .await;
+        if ready.is_ok_and(|res| res.status().is_success()) {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    panic!("the process at {admin} is not ready");
+}
+
+fn http_get() -> http::Method {
+    http::Method::GET
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_generation_survives_its_engine_as_separate_processes() {
+    let store = ConsulServer::start(SocketAddr::from(([127, 0, 0, 1], 0))).await;
+    let ledger = Ledger::default();
+    let one = Engine::start(EngineConfig::new(VERSION), ledger.clone(), 1).await;
+    let two = Engine::start(EngineConfig::new(VERSION), ledger.clone(), 2).await;
+    let agent_one = start_agent("engine-1", one.addr);
+    let mut agent_two = start_agent("engine-2", two.addr);
+    let (listen, control, admin) = (free_addr(), free_addr(), free_addr());
+    let settings = format!(
+        "name: router-1\nzone: zone-a\nlisten: {listen}\ncontrol: {control}\nadmin: {admin}\n\
+         store: {}\nlog_level: warn\n",
+        store.addr
+    );
+    let mut router = Process::start("router", &write("router-1.yaml", &settings));
+    let text = document(&[("engine-1", &agent_one), ("engine-2", &agent_two)]);
+    let file = write("document.yaml", &text);
+    let file = file.to_str().expect("a path in UTF-8");
+    let applied = client(store.addr, &["apply", file, "--operation", "first"]);
+    assert!(applied.status.success(), "{applied:?}");
+    let again = client(store.addr, &["apply", file, "--operation", "first"]);
+    let again = String::from_utf8_lossy(&again.stdout).into_owned();
+    assert!(again.contains("\"replay\":true"), "{again}");
+    wait_ready(admin).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+
+    let caller = Caller::new(API_KEY);
+    let body = Cluster::completion_body("a forecast", 7, TOKENS);
+    let mut transcript = Transcript::default();
+    let mut stream = caller
+        .open(listen, &[], &body, &transcript)
+        .await
+        .expect("the stream opens");
+    let busy_engine = async {
+        loop {
+            let is_running =
+                |e: &Engine| e.stats.running.load(std::sync::atomic::Ordering::Relaxed);
+            if is_running(&one) > 0 {
+                return &one;
+            }
+            if is_running(&two) > 0 {
+                return &two;
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    let kill = async {
+        let engine = busy_engine.await;
+        tokio::time::sleep(Duration::from_millis(600)).await;
+        engine.host.kill();
+    };
+    let (end, ()) = tokio::join!(stream.read(&mut transcript), kill);
+    assert_eq!(end, StreamEnd::Done);
+    let judgement = ledger.judge("a forecast", 7, &transcript.tokens, TOKENS);
+    assert_eq!(judgement, cactusbarrow_standins::Judgement::default());
+    assert_eq!(transcript.tokens.len(), TOKENS);
+    assert!(!transcript.text.contains('\u{fffd}'), "{}", transcript.text);
+
+    assert_eq!(agent_two.process.terminate(), 0);
+    assert_eq!(router.terminate(), 0);
+}
