--- a/crates/cactusbarrow_standins/src/caller.rs
+++ b/crates/cactusbarrow_standins/src/caller.rs
@@ -28,12 +28,23 @@
     pub text: String,
     /// Identifier of the last event.
     pub last_event_id: Option<String>,
-    /// When tokens arrived, and how many there were then.
-    pub arrivals: Vec<(Instant, usize)>,
+    /// When tokens arrived.
+    pub arrivals: Vec<Arrival>,
     /// Why the generation ended, if it has.
     pub finish_reason: Option<String>,
 }
 
+/// Arrival of one event with tokens.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Arrival {
+    /// When it arrived.
+    pub at: Instant,
+    /// Tokens that the caller has since.
+    pub tokens: usize,
+    /// Backend server that the event's identifier names; empty if it has none.
+    pub backend_server: String,
+}
+
 /// How one connection to a router ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum StreamEnd {
@@ -178,13 +189,19 @@
 }
 
 impl Transcript {
-    /// Returns the longest time between arrivals that ends after `since`.
-    pub fn longest_gap_after(&self, since: Instant) -> Option<Duration> {
-        self.arrivals
-            .windows(2)
-            .filter(|pair| pair[1].0 >= since)
-            .map(|pair| pair[1].0 - pair[0].0)
-            .max()
+    /// Returns how long output stood still after a backend server failed at `fault`.
+    ///
+    /// `None` if the generation did not run there then, or had ended.
+    pub fn resume_after(&self, fault: Instant, backend_server: &str) -> Option<Duration> {
+        let next = self.arrivals.iter().position(|a| a.at > fault)?;
+        let last = &self.arrivals[next.checked_sub(1)?];
+        let is_affected = last.backend_server == backend_server;
+        is_affected.then(|| self.arrivals[next].at - fault)
+    }
+
+    /// Returns the time from `since` to the first token.
+    pub fn first_token_after(&self, since: Instant) -> Option<Duration> {
+        Some(self.arrivals.first()?.at - since)
     }
 
     fn add(&mut self, data: &str) {
@@ -196,6 +213,11 @@
             self.tokens.extend_from_slice(&choice.token_ids);
             self.finish_reason = choice.finish_reason.or(self.finish_reason.take());
         }
-        self.arrivals.push((Instant::now(), self.tokens.len()));
+        let id = self.last_event_id.as_deref().unwrap_or_default();
+        self.arrivals.push(Arrival {
+            at: Instant::now(),
+            tokens: self.tokens.len(),
+            backend_server: id.splitn(4, '.').nth(3).unwrap_or_default().to_owned(),
+        });
     }
 }
--- a/crates/cactusbarrow_standins/src/cluster.rs
+++ b/crates/cactusbarrow_standins/src/cluster.rs
@@ -1,10 +1,9 @@
 //! A small cluster on loopback: real routers and agents, stand-ins around them.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
-use cactusbarrow_agent::{AgentConfig, BackendKind};
+use cactusbarrow_agent::{AgentConfig, AgentHandle, BackendKind};
 use cactusbarrow_document::{
     BackendServer, Customer, ModelVersion, Object, Preference, Protocol, RouteRule, Service,
     VersionWeight, WEIGHT_TOTAL, hash_api_key,
@@ -13,6 +12,7 @@
 use cactusbarrow_platform::{CommitRequest, ConsulStore, Edit, commit};
 use cactusbarrow_policy::Revision;
 use cactusbarrow_router::{Peer, RouterConfig, RouterHandle};
+use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
 use crate::consul_server::ConsulServer;
@@ -85,6 +85,8 @@
     pub agent: Host,
     /// Cancelled to stop the agent gracefully.
     pub shutdown: CancellationToken,
+    /// Learns of each revision that the agent adopts.
+    pub revisions: watch::Receiver<Revision>,
     /// What the configuration says of it.
     pub object: BackendServer,
 }
@@ -310,7 +312,8 @@
         let mut cfg = AgentConfig::new(&name, any, any, addr, kind);
         (self.cfg.tune_agent)(&mut cfg);
         let shutdown = CancellationToken::new();
-        let (agent, (listen, control)) = start_agent(cfg, shutdown.clone()).await;
+        let (agent, handle) = start_agent(cfg, shutdown.clone()).await;
+        let (listen, control) = (handle.listen, handle.control);
         let is_engine = kind == BackendKind::Engine;
         let object = BackendServer {
             name: name.clone(),
@@ -333,6 +336,7 @@
             backend,
             agent,
             shutdown,
+            revisions: handle.revisions(),
             object,
         }
     }
@@ -353,18 +357,13 @@
     }
 }
 
-async fn start_agent(
-    cfg: AgentConfig,
-    shutdown: CancellationToken,
-) -> (Host, (SocketAddr, SocketAddr)) {
-    let (host, handle) = Host::start(async move {
-        let handle = cactusbarrow_agent::start(cfg, SystemClock, shutdown)
+async fn start_agent(cfg: AgentConfig, shutdown: CancellationToken) -> (Host, AgentHandle) {
+    Host::start(async move {
+        cactusbarrow_agent::start(cfg, SystemClock, shutdown)
             .await
-            .expect("the agent starts");
-        Arc::new(handle)
+            .expect("the agent starts")
     })
-    .await;
-    (host, (handle.listen, handle.control))
+    .await
 }
 
 fn model_version() -> ModelVersion {
--- a/crates/cactusbarrow_standins/src/engine.rs
+++ b/crates/cactusbarrow_standins/src/engine.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use cactusbarrow_net::{Body, BodySender, ServeConfig, collect_limited, serve};
 use cactusbarrow_policy::stable_hash;
@@ -74,6 +74,24 @@
     pub cache_hits: AtomicUsize,
     /// Orders obeyed.
     pub loads: AtomicUsize,
+    last_start: Mutex<Option<Instant>>,
+}
+
+impl EngineStats {
+    /// Returns when a request was last received.
+    pub fn last_start(&self) -> Option<Instant> {
+        *self
+            .last_start
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn record_request(&self) {
+        *self
+            .last_start
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner) = Some(Instant::now());
+    }
 }
 
 #[derive(Debug)]
@@ -246,6 +264,7 @@
     if state.loaded().version.as_deref() != Some(&req.model_version) {
         return status(StatusCode::SERVICE_UNAVAILABLE);
     }
+    state.stats.record_request();
     let (tx, body) = Body::channel();
     tokio::spawn(async move {
         tokio::select! {
--- a/crates/cactusbarrow_standins/src/host.rs
+++ b/crates/cactusbarrow_standins/src/host.rs
@@ -16,6 +16,21 @@
     handle: Handle,
     kill: CancellationToken,
     thread: Option<thread::JoinHandle<()>>,
+    thread_id: String,
+}
+
+/// Returns the processor time that a thread of this process has used, by its number.
+pub fn thread_cpu_time(thread_id: &str) -> Duration {
+    let path = format!("/proc/self/task/{thread_id}/schedstat");
+    let text = std::fs::read_to_string(path).unwrap_or_default();
+    let nanos = text.split(' ').next().and_then(|n| n.parse().ok());
+    Duration::from_nanos(nanos.unwrap_or(0))
+}
+
+fn own_thread_id() -> String {
+    let link = std::fs::read_link("/proc/thread-self").unwrap_or_default();
+    let name = link.file_name().unwrap_or_default();
+    name.to_string_lossy().into_owned()
 }
 
 impl Host {
@@ -34,16 +49,17 @@
                 .build()
                 .expect("a runtime can be built");
             // The starter waits for the handle until it is there.
-            let _ = handle_tx.send(runtime.handle().clone());
+            let _ = handle_tx.send((runtime.handle().clone(), own_thread_id()));
             runtime.block_on(killed.cancelled());
             runtime.shutdown_background();
         });
-        let handle = handle_rx.await.expect("the thread sends its handle");
+        let (handle, thread_id) = handle_rx.await.expect("the thread sends its handle");
         let value = handle.spawn(start).await.expect("the start does not panic");
         let host = Self {
             handle,
             kill,
             thread: Some(thread),
+            thread_id,
         };
         (host, value)
     }
@@ -57,6 +73,11 @@
         self.handle.spawn(future)
     }
 
+    /// Returns the processor time that the host's tasks have used.
+    pub fn cpu_time(&self) -> Duration {
+        thread_cpu_time(&self.thread_id)
+    }
+
     /// Ends the host at once.
     pub fn kill(&self) {
         self.kill.cancel();
--- a/crates/cactusbarrow_standins/src/lib.rs
+++ b/crates/cactusbarrow_standins/src/lib.rs
@@ -16,10 +16,10 @@
 mod ledger;
 mod plain_service;
 
-pub use caller::{Caller, StreamEnd, StreamReader, Transcript};
+pub use caller::{Arrival, Caller, StreamEnd, StreamReader, Transcript};
 pub use cluster::{Cluster, ClusterConfig, RouterProcess, Site, api_key};
 pub use consul_server::{ConsulServer, StoreCounts, StoreFaults};
 pub use engine::{Engine, EngineConfig, EngineStats};
-pub use host::Host;
+pub use host::{Host, thread_cpu_time};
 pub use ledger::{Judgement, Ledger, token_bytes};
 pub use plain_service::{CallLedger, PlainService, PlainServiceConfig};
--- /dev/null
+++ b/examples/experiment/drain.rs
@@ -0,0 +1,103 @@
+//! Planned stops: by the operator's document, by the platform's list and by signal.
+
+use std::sync::{Arc, RwLock};
+use std::time::{Duration, Instant};
+
+use cactusbarrow_document::Object;
+use cactusbarrow_platform::Edit;
+use cactusbarrow_standins::{Caller, Cluster, ClusterConfig, api_key};
+
+use crate::report::Outcome;
+use crate::workload::{self, Load, Routers};
+
+const NEW_WORK_BOUND_MS: f64 = 3_000.0;
+const DRAIN_SPACING: Duration = Duration::from_millis(1_500);
+
+/// A drain with the engine it concerns.
+struct Drain {
+    engine: usize,
+    ordered: Instant,
+}
+
+/// Runs the experiment.
+pub(crate) async fn run(seed: u64, is_short: bool) -> Outcome {
+    let mut cluster = Cluster::start(ClusterConfig {
+        routers: 3,
+        engines: 12,
+        zones: 4,
+        tune_agent: |cfg| {
+            cfg.move_after = Duration::from_secs(2);
+            cfg.grace = Duration::from_secs(12);
+        },
+        ..ClusterConfig::default()
+    })
+    .await;
+    let load = Load {
+        generations: if is_short { 40 } else { 300 },
+        spacing: Duration::from_millis(30),
+        min_tokens: 60,
+        max_tokens: 500,
+    };
+    let routers: Routers = Arc::new(RwLock::new(cluster.router_addrs()));
+    let drains = if is_short { 3 } else { 9 };
+    let (finished, drains) = tokio::join!(
+        workload::run_load(load, seed, routers.clone(), Caller::new(&api_key(0))),
+        drain(&mut cluster, &routers, drains),
+    );
+    let mut outcome = Outcome::new("drain", seed);
+    workload::judge(&mut outcome, &finished, &cluster.ledger);
+    let cut: usize = finished.iter().map(|f| f.breaks + f.refusals.len()).sum();
+    outcome.set("drains", drains.len());
+    outcome.must_be("streams_cut", cut as u64, 0);
+    let late = drains
+        .iter()
+        .filter_map(|drain| {
+            let last = cluster.engines[drain.engine].backend.stats.last_start()?;
+            last.checked_duration_since(drain.ordered)
+        })
+        .max()
+        .unwrap_or_default()
+        .as_secs_f64()
+        * 1e3;
+    outcome.set("new_work_after_drain_ms_max", crate::report::rounded(late));
+    outcome.bound("new_work_after_drain", late, NEW_WORK_BOUND_MS);
+    let unfinished = finished.iter().filter(|f| !f.is_complete).count();
+    outcome.must_be("not_finished", unfinished as u64, 0);
+    outcome
+}
+
+/// Drains engines in each of the three ways in turn, and stops one router gracefully.
+async fn drain(cluster: &mut Cluster, routers: &Routers, count: usize) -> Vec<Drain> {
+    let mut drains = Vec::new();
+    for engine in 0..count {
+        tokio::time::sleep(DRAIN_SPACING).await;
+        let site = &cluster.engines[engine];
+        let ordered = Instant::now();
+        match engine % 3 {
+            0 => {
+                let mut object = site.object.clone();
+                object.draining = true;
+                let edits = vec![Edit::Set(Object::BackendServer(object))];
+                cluster.commit(&format!("drain-{engine}"), edits).await;
+            }
+            1 => cluster.store.set_node(
+                &site.name,
+                &[
+                    ("cactusbarrow-role", "backend-server"),
+                    ("zone", &site.object.zone),
+                    ("state", "leaving"),
+                ],
+            ),
+            _ => site.shutdown.cancel(),
+        }
+        drains.push(Drain { engine, ordered });
+    }
+    let last = cluster.routers.pop().expect("there are three routers");
+    routers
+        .write()
+        .expect("no reader panics")
+        .retain(|addr| *addr != last.handle.listen);
+    let stopped = last.handle.stop().await;
+    assert!(stopped, "the router ends its streams within its grace");
+    drains
+}
