Let the agent see a frozen engine by the stall of all its streams

Cause: after a silent freeze the second attempt could go to another frozen engine, since the agent learned of a freeze only from a probe that timed out, and a router waited 0.7 s more after it was told. Ruled out: the budget for retries, which is not charged once tokens are out.

Now the agent joins its probe with the progress of all streams, refuses new work while its engine is dead, and a router that favors latency goes on at once when it is told so. Refusals of the gate no longer use up the budget for retries, and a caller without a token gets its final answer after the service's patience.

--- a/crates/cactusbarrow_agent/src/agent.rs
+++ b/crates/cactusbarrow_agent/src/agent.rs
@@ -1,12 +1,13 @@
 //! State shared by the tasks of one agent.
 
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
 use cactusbarrow_net::{Clock, HttpClient, HttpVersion};
 use cactusbarrow_policy::{
-    DrainCause, EngineOrders, Gate, GateConfig, OrderConfig, Permit, Reason, Revision, Work,
+    BackendHealth, DrainCause, EngineOrders, Gate, GateConfig, HealthConfig, OrderConfig, Permit,
+    Reason, Revision, Work,
 };
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -30,7 +31,7 @@
     pub(crate) revisions: watch::Sender<Revision>,
     gate: Mutex<Gate>,
     drain_since: watch::Sender<Option<Instant>>,
-    is_engine_alive: AtomicBool,
+    health: Mutex<BackendHealth>,
     host_list_index: AtomicU64,
 }
 
@@ -44,7 +45,7 @@
             orders: Mutex::new(EngineOrders::new(OrderConfig::default())),
             http: HttpClient::new(HttpVersion::Http1),
             drain_since: watch::Sender::new(None),
-            is_engine_alive: AtomicBool::new(true),
+            health: Mutex::new(BackendHealth::new(HealthConfig::default())),
             host_list_index: AtomicU64::new(0),
             tasks: TaskTracker::new(),
             revisions: watch::Sender::new(Revision::default()),
@@ -56,7 +57,12 @@
 
     /// Asks the gate whether work may start; counts each refusal.
     pub(crate) fn admit(self: &Arc<Self>, work: &Work<'_>) -> Result<AgentPermit<C>, Reason> {
-        match self.gate().admit(work, self.clock.now()) {
+        let admitted = if self.is_engine_alive() {
+            self.gate().admit(work, self.clock.now())
+        } else {
+            Err(Reason::EngineDown)
+        };
+        match admitted {
             Ok(permit) => Ok(AgentPermit {
                 agent: self.clone(),
                 permit: Some(permit),
@@ -108,16 +114,15 @@
         self.orders.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns whether the backend server answered the last probe.
+    /// Returns whether the backend server is taken for alive.
     pub(crate) fn is_engine_alive(&self) -> bool {
-        self.is_engine_alive.load(Ordering::Relaxed)
+        let now = self.clock.now();
+        self.health().is_alive(now)
     }
 
-    /// Records the result of a probe.
-    pub(crate) fn set_engine_alive(&self, is_alive: bool) {
-        if self.is_engine_alive.swap(is_alive, Ordering::Relaxed) != is_alive {
-            log::info!(backend_server = self.cfg.name, alive = is_alive; "backend server changed state");
-        }
+    /// Locks the health.
+    pub(crate) fn health(&self) -> MutexGuard<'_, BackendHealth> {
+        self.health.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
--- a/crates/cactusbarrow_agent/src/orders.rs
+++ b/crates/cactusbarrow_agent/src/orders.rs
@@ -32,7 +32,7 @@
             BackendKind::Engine => probe_engine(&agent).await,
             BackendKind::Service => probe_service(&agent).await,
         };
-        agent.set_engine_alive(is_alive);
+        agent.health().record_probe(is_alive);
         tokio::select! {
             () = agent.stop.cancelled() => return,
             () = tokio::time::sleep(agent.cfg.probe_interval) => {}
--- a/crates/cactusbarrow_agent/src/pump.rs
+++ b/crates/cactusbarrow_agent/src/pump.rs
@@ -46,6 +46,7 @@
             Err(e) => return end_of_error(agent, &e),
         },
     };
+    let mut decoding = Decoding::new(agent);
     let mut orphan_check = tokio::time::interval(ORPHAN_CHECK);
     loop {
         tokio::select! {
@@ -57,7 +58,10 @@
                 }
             }
             event = stream.next() => match event {
-                Ok(EngineEvent::Tokens(tokens)) => record.push(&tokens),
+                Ok(EngineEvent::Tokens(tokens)) => {
+                    decoding.record_token();
+                    record.push(&tokens);
+                }
                 Ok(EngineEvent::End(EndReason::Stop)) => return EndKind::Stop,
                 Ok(EngineEvent::End(EndReason::Length)) => return EndKind::Length,
                 Err(e) => return end_of_error(agent, &e),
@@ -66,6 +70,41 @@
     }
 }
 
+/// Reports the progress of one stream to the health of its backend server.
+struct Decoding<'a, C: Clock> {
+    agent: &'a Agent<C>,
+    has_token: bool,
+}
+
+impl<'a, C: Clock> Decoding<'a, C> {
+    fn new(agent: &'a Agent<C>) -> Self {
+        Self {
+            agent,
+            has_token: false,
+        }
+    }
+
+    fn record_token(&mut self) {
+        let now = self.agent.clock.now();
+        let mut health = self.agent.health();
+        if self.has_token {
+            health.record_token(now);
+        } else {
+            self.has_token = true;
+            health.record_decode_start(now);
+        }
+    }
+}
+
+impl<C: Clock> Drop for Decoding<'_, C> {
+    fn drop(&mut self) {
+        if self.has_token {
+            let now = self.agent.clock.now();
+            self.agent.health().record_decode_end(now);
+        }
+    }
+}
+
 fn end_of_error<C: Clock>(agent: &Agent<C>, error: &EngineError) -> EndKind {
     log::warn!(step = "generate", backend_server = agent.cfg.name; "{error}");
     match error {
--- a/crates/cactusbarrow_policy/src/generation.rs
+++ b/crates/cactusbarrow_policy/src/generation.rs
@@ -30,7 +30,9 @@
     pub favor: Favor,
     /// When to suspect an attempt.
     pub suspicion: SuspicionConfig,
-    /// Longest time without an accepted token before the generation is given up.
+    /// Longest wait for the first accepted token before the generation is given up.
+    pub first_patience: Duration,
+    /// Longest time without an accepted token after the first.
     pub patience: Duration,
     /// Waits between attempts that were refused.
     pub backoff: Backoff,
@@ -50,6 +52,7 @@
         Self {
             favor,
             suspicion,
+            first_patience: Duration::from_secs(5),
             patience,
             backoff: Backoff::new(Duration::from_millis(40), Duration::from_millis(800)),
         }
@@ -179,13 +182,15 @@
     }
 
     fn suspect_at(&self) -> Instant {
-        let heard = self.engine_dead_since.unwrap_or(self.last_heard);
-        let silence = heard.min(self.last_heard) + self.suspicion.agent_timeout();
+        let silence = self.last_heard + self.suspicion.agent_timeout();
+        let dead = self
+            .engine_dead_since
+            .map_or(silence, |since| since + self.suspicion.engine_timeout());
         let stall = match self.last_token {
             Some(at) => at + self.suspicion.token_timeout(),
             None => self.started + self.suspicion.first_token_timeout(),
         };
-        silence.min(stall)
+        silence.min(dead).min(stall)
     }
 }
 
@@ -282,7 +287,7 @@
         if self.done {
             return None;
         }
-        let patience = self.progress_at + self.cfg.patience;
+        let patience = self.give_up_at();
         let suspect = match (&self.current, &self.standby) {
             (Some(current), None) => Some(current.suspect_at()),
             (_, Some(standby)) => Some(standby.suspect_at()),
@@ -466,7 +471,7 @@
     }
 
     fn on_tick(&mut self, now: Instant, rng: &mut impl Rng, actions: &mut Vec<Action>) {
-        if now >= self.progress_at + self.cfg.patience {
+        if now >= self.give_up_at() {
             let outcome = self.outcome();
             self.give_up(outcome, self.last_reason, actions);
             return;
@@ -597,6 +602,15 @@
         actions.push(Action::GiveUp(outcome, reason));
     }
 
+    fn give_up_at(&self) -> Instant {
+        let patience = if self.accepted.is_empty() {
+            self.cfg.first_patience
+        } else {
+            self.cfg.patience
+        };
+        self.progress_at + patience
+    }
+
     fn outcome(&self) -> Outcome {
         if !self.accepted.is_empty() {
             Outcome::Failed
--- a/crates/cactusbarrow_policy/src/lib.rs
+++ b/crates/cactusbarrow_policy/src/lib.rs
@@ -13,6 +13,7 @@
 mod gate;
 mod generation;
 mod hash;
+mod health;
 mod ids;
 mod limits;
 mod orders;
@@ -34,6 +35,7 @@
     Action, AttemptEnd, EndReason, Event, Favor, Generation, GenerationConfig, GenerationStats,
 };
 pub use hash::{mix, rendezvous_order, rendezvous_weight, stable_hash};
+pub use health::{BackendHealth, HealthConfig};
 pub use ids::{AttemptNumber, ClaimNonce, GenerationId, KeyHash, Revision};
 pub use limits::{CustomerLimits, CustomerTable, LimitRefusal};
 pub use orders::{EngineOrders, LoadOrder, OrderConfig};
--- a/crates/cactusbarrow_policy/src/outcome.rs
+++ b/crates/cactusbarrow_policy/src/outcome.rs
@@ -85,6 +85,8 @@
     AgentUnreachable = "agent_unreachable",
     /// The connection to the agent broke.
     AgentLost = "agent_lost",
+    /// The backend server does not answer its agent's probes.
+    EngineDown = "engine_down",
     /// The engine cannot be reached, or its stream broke.
     EngineLost = "engine_lost",
     /// The attempt stopped making progress.
--- a/crates/cactusbarrow_policy/src/suspicion.rs
+++ b/crates/cactusbarrow_policy/src/suspicion.rs
@@ -16,6 +16,8 @@
     pub deviations: f64,
     /// Longest silence of the agent that is tolerated.
     pub agent_silence: Duration,
+    /// Longest time that is tolerated after the agent reports its engine dead.
+    pub engine_silence: Duration,
     /// Longest wait for the first token while the agent reports a live engine.
     pub first_token: Duration,
 }
@@ -28,6 +30,7 @@
             ceiling: Duration::from_millis(1_000),
             deviations: 6.0,
             agent_silence: Duration::from_millis(700),
+            engine_silence: Duration::ZERO,
             first_token: Duration::from_secs(5),
         }
     }
@@ -39,6 +42,7 @@
             ceiling: Duration::from_millis(1_500),
             deviations: 12.0,
             agent_silence: Duration::from_millis(1_200),
+            engine_silence: Duration::from_millis(500),
             first_token: Duration::from_secs(15),
         }
     }
@@ -84,6 +88,11 @@
         self.cfg.agent_silence
     }
 
+    /// Returns the longest time that is tolerated after the agent reports its engine dead.
+    pub fn engine_timeout(&self) -> Duration {
+        self.cfg.engine_silence
+    }
+
     /// Returns the longest wait for the first token while the engine is reported alive.
     pub fn first_token_timeout(&self) -> Duration {
         self.cfg.first_token
--- a/crates/cactusbarrow_router/src/drive.rs
+++ b/crates/cactusbarrow_router/src/drive.rs
@@ -68,6 +68,7 @@
     running: HashMap<AttemptNumber, Running>,
     excluded: Vec<String>,
     last_end: Reason,
+    has_lost_attempt: bool,
     tx: mpsc::Sender<AttemptMessage>,
     rx: mpsc::Receiver<AttemptMessage>,
     permit: CustomerPermit<S, C>,
@@ -132,6 +133,7 @@
             running: HashMap::new(),
             excluded: Vec::new(),
             last_end: Reason::NoBackend,
+            has_lost_attempt: false,
             tx,
             rx,
             permit,
@@ -238,7 +240,8 @@
     }
 
     fn start(&mut self, attempt: AttemptNumber, prefix: usize) {
-        let is_repeat = attempt.0 > 1 && prefix == 0 && self.last_end != Reason::NoBackend;
+        // An attempt that was refused cost nothing, and one with tokens is to be saved.
+        let is_repeat = self.has_lost_attempt && prefix == 0;
         if is_repeat && !self.router.try_retry(&self.req.service, self.last_end) {
             self.refuse(attempt, Reason::RetryBudget);
             return;
@@ -302,6 +305,7 @@
                 .load()
                 .record_failure(&running.backend_server, now);
             self.excluded.push(running.backend_server.clone());
+            self.has_lost_attempt = true;
         }
         let cancel = Request::Cancel(CancelAttempt {
             generation: self.req.generation.to_bytes().to_vec().into(),
@@ -371,11 +375,13 @@
                     load.record_failure(&server, now);
                 }
                 self.last_end = reason;
+                self.has_lost_attempt = false;
                 self.excluded.push(server.clone());
             }
             AttemptEnd::Lost(reason) => {
                 load.record_failure(&server, now);
                 self.last_end = reason;
+                self.has_lost_attempt = true;
                 self.excluded.push(server.clone());
             }
         }
--- a/crates/cactusbarrow_router/src/router.rs
+++ b/crates/cactusbarrow_router/src/router.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::time::Duration;
 
 use cactusbarrow_document::Preference;
 use cactusbarrow_net::{Clock, ControlClient, HttpClient, HttpVersion};
@@ -167,10 +168,16 @@
     /// Returns the tuning of generations of a service.
     pub(crate) fn generation_config(&self, service: &str) -> GenerationConfig {
         let fleet = self.config.fleet();
-        let favor = fleet.service(service).map(|service| service.favor);
-        match favor.unwrap_or_default() {
+        let Some(service) = fleet.service(service) else {
+            return self.cfg.latency;
+        };
+        let tuning = match service.favor {
             Preference::Latency => self.cfg.latency,
             Preference::Resources => self.cfg.resources,
+        };
+        GenerationConfig {
+            first_patience: Duration::from_secs(u64::from(service.caller_patience_seconds)),
+            ..tuning
         }
     }
 
--- a/examples/experiment/workload.rs
+++ b/examples/experiment/workload.rs
@@ -95,7 +95,10 @@
     let started = Instant::now();
     let body = Cluster::completion_body(&prompt, seed, wanted);
     let key = format!("key-{seed}");
-    let headers = [("idempotency-key", key.as_str())];
+    let mut headers = vec![
+        ("cactusbarrow-first-attempt", "1"),
+        ("idempotency-key", key.as_str()),
+    ];
     let mut rng = StdRng::seed_from_u64(seed);
     let mut finished = Finished {
         prompt,
@@ -115,6 +118,7 @@
         let opened = caller
             .open(router, &headers, &body, &finished.transcript)
             .await;
+        headers.retain(|(name, _)| *name == "idempotency-key");
         let end = match opened {
             Ok(mut stream) => stream.read(&mut finished.transcript).await,
             Err(end) => end,
