Never go on from a move's new attempt after its held tokens were delivered

Cause: when the old attempt of a planned move died, its held tokens were handed to the reader, and then the new attempt, which started before them, was made current: its tokens were spliced behind another generation's. Found by the property test the_answer_is_one_generation (minimal case: move, one held token, loss of the old attempt, tokens of the new one).

Now held tokens are dropped when the new attempt takes over, and delivered only if the old one finishes or the move fails.

--- a/crates/cactusbarrow_policy/src/gate.rs
+++ b/crates/cactusbarrow_policy/src/gate.rs
@@ -25,7 +25,7 @@
 }
 
 /// Why a backend server takes no new work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum DrainCause {
     /// The operator's document says so.
     Document,
--- a/crates/cactusbarrow_policy/src/generation.rs
+++ b/crates/cactusbarrow_policy/src/generation.rs
@@ -411,20 +411,32 @@
             self.on_standby_ended(number, length, end, now, rng, actions);
             return;
         }
-        self.release_held(now, actions);
         match end {
-            AttemptEnd::Finished(reason) if length == self.accepted.len() => {
-                self.drop_standby(actions);
-                self.done = true;
-                actions.push(Action::Finish(reason));
-            }
+            AttemptEnd::Finished(reason) => self.on_finished(length, reason, now, actions),
             AttemptEnd::Rejected(reason) => self.give_up(Outcome::Failed, reason, actions),
-            AttemptEnd::Finished(_) => self.replace_current(Reason::AgentLost, now, actions),
             AttemptEnd::Lost(reason) => self.replace_current(reason, now, actions),
             AttemptEnd::Refused(reason) => self.on_refused(reason, now, rng, actions),
         }
     }
 
+    fn on_finished(
+        &mut self,
+        length: usize,
+        reason: EndReason,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        let held = self.held.as_ref().map_or(0, TokenBuffer::len);
+        if length != self.accepted.len() + held {
+            self.replace_current(Reason::AgentLost, now, actions);
+            return;
+        }
+        self.release_held(now, actions);
+        self.drop_standby(actions);
+        self.done = true;
+        actions.push(Action::Finish(reason));
+    }
+
     fn on_standby_ended(
         &mut self,
         number: AttemptNumber,
@@ -547,6 +559,7 @@
     }
 
     fn promote_standby(&mut self, actions: &mut Vec<Action>) {
+        // Held tokens of the old attempt go: the new one continues what the reader has.
         self.cancel_current(actions);
         if let Some(held) = self.held.take() {
             self.stats.tokens_dropped += held.len() as u64;
--- /dev/null
+++ b/crates/cactusbarrow_policy/tests/generation.rs
@@ -0,0 +1,382 @@
+//! Whatever attempts do, a reader gets one generation without gap or repetition.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use cactusbarrow_policy::{
+    Action, AttemptEnd, AttemptNumber, EndReason, Event, Favor, Generation, GenerationConfig,
+    Outcome, Reason, TokenBuffer,
+};
+use common::fixed;
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+const LENGTH: usize = 24;
+
+/// One step of a schedule; `attempt` picks among all attempts ever started.
+#[derive(Clone, Debug)]
+enum Step {
+    Tokens { attempt: usize, count: usize },
+    Repeat { attempt: usize },
+    Alive { attempt: usize, engine_alive: bool },
+    Move { attempt: usize },
+    Lose { attempt: usize },
+    Refuse { attempt: usize },
+    Wait { ms: u64 },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let attempt = 0..8_usize;
+    prop_oneof![
+        6 => (attempt.clone(), 1..5_usize)
+            .prop_map(|(attempt, count)| Step::Tokens { attempt, count }),
+        1 => attempt.clone().prop_map(|attempt| Step::Repeat { attempt }),
+        2 => (attempt.clone(), any::<bool>())
+            .prop_map(|(attempt, engine_alive)| Step::Alive { attempt, engine_alive }),
+        1 => attempt.clone().prop_map(|attempt| Step::Move { attempt }),
+        1 => attempt.clone().prop_map(|attempt| Step::Lose { attempt }),
+        1 => attempt.prop_map(|attempt| Step::Refuse { attempt }),
+        3 => (1..900_u64).prop_map(|ms| Step::Wait { ms }),
+    ]
+}
+
+/// An attempt as its engine runs it: its tokens tell the attempt and the offset.
+struct Run {
+    prefix: usize,
+    next: usize,
+}
+
+/// Drives a generation and checks what it emits.
+struct Model {
+    machine: Generation,
+    runs: BTreeMap<AttemptNumber, Run>,
+    now: Instant,
+    rng: StdRng,
+    emitted: Vec<u32>,
+    finished: bool,
+    given_up: Option<(Outcome, Reason)>,
+}
+
+fn token_id(attempt: AttemptNumber, offset: usize) -> u32 {
+    attempt.0 << 16 | offset as u32
+}
+
+impl Model {
+    fn new(favor: Favor) -> Self {
+        let now = Instant::now();
+        let (machine, actions) = Generation::start(GenerationConfig::for_favor(favor), now);
+        let mut model = Self {
+            machine,
+            runs: BTreeMap::new(),
+            now,
+            rng: StdRng::seed_from_u64(1),
+            emitted: Vec::new(),
+            finished: false,
+            given_up: None,
+        };
+        model.perform(actions);
+        model
+    }
+
+    fn perform(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Start { attempt, prefix } => {
+                    assert_eq!(
+                        prefix,
+                        self.emitted.len(),
+                        "an attempt starts at the reader's end"
+                    );
+                    let next = prefix;
+                    let old = self.runs.insert(attempt, Run { prefix, next });
+                    assert!(old.is_none(), "attempt numbers are not used twice");
+                }
+                Action::Cancel { attempt } => assert!(self.runs.contains_key(&attempt)),
+                Action::Emit { from, to } => {
+                    assert_eq!(from, self.emitted.len(), "no gap and no repetition");
+                    self.emitted
+                        .extend_from_slice(&self.machine.accepted().ids()[from..to]);
+                }
+                Action::Finish(_) => {
+                    assert_eq!(self.emitted.len(), LENGTH);
+                    self.finished = true;
+                }
+                Action::GiveUp(outcome, reason) => self.given_up = Some((outcome, reason)),
+            }
+        }
+    }
+
+    fn handle(&mut self, event: Event<'_>) {
+        let actions = self.machine.handle(event, self.now, &mut self.rng);
+        self.perform(actions);
+    }
+
+    fn nth(&self, attempt: usize) -> AttemptNumber {
+        let numbers: Vec<AttemptNumber> = self.runs.keys().copied().collect();
+        numbers[attempt % numbers.len()]
+    }
+
+    fn tokens(&mut self, attempt: AttemptNumber, offset: usize, count: usize) {
+        let mut tokens = TokenBuffer::new();
+        for offset in offset..offset + count {
+            tokens.push(token_id(attempt, offset), b"x");
+        }
+        self.handle(Event::Tokens {
+            attempt,
+            offset,
+            tokens: &tokens,
+        });
+    }
+
+    fn run(&mut self, step: &Step) {
+        match *step {
+            Step::Tokens { attempt, count } => {
+                let attempt = self.nth(attempt);
+                let offset = self.runs[&attempt].next;
+                let count = count.min(LENGTH - offset);
+                if count > 0 {
+                    self.runs.get_mut(&attempt).unwrap().next += count;
+                    self.tokens(attempt, offset, count);
+                }
+                if offset + count == LENGTH {
+                    self.handle(Event::Ended {
+                        attempt,
+                        length: LENGTH,
+                        end: AttemptEnd::Finished(EndReason::Length),
+                    });
+                }
+            }
+            Step::Repeat { attempt } => {
+                let attempt = self.nth(attempt);
+                let prefix = self.runs[&attempt].prefix;
+                let count = self.runs[&attempt].next - prefix;
+                self.tokens(attempt, prefix, count);
+            }
+            Step::Alive {
+                attempt,
+                engine_alive,
+            } => {
+                let attempt = self.nth(attempt);
+                self.handle(Event::Alive {
+                    attempt,
+                    engine_alive,
+                });
+            }
+            Step::Move { attempt } => {
+                let attempt = self.nth(attempt);
+                self.handle(Event::MoveRequested { attempt });
+            }
+            Step::Lose { attempt } => self.end(attempt, AttemptEnd::Lost(Reason::AgentLost)),
+            Step::Refuse { attempt } => self.end(attempt, AttemptEnd::Refused(Reason::Draining)),
+            Step::Wait { ms } => {
+                self.now += Duration::from_millis(ms);
+                self.handle(Event::Tick);
+            }
+        }
+    }
+
+    fn end(&mut self, attempt: usize, end: AttemptEnd) {
+        let attempt = self.nth(attempt);
+        let length = self.runs[&attempt].next;
+        self.handle(Event::Ended {
+            attempt,
+            length,
+            end,
+        });
+    }
+
+    /// Each attempt's first token in the answer is the one right after its prefix.
+    fn check_one_generation(&self) {
+        let mut current = None;
+        for (i, id) in self.emitted.iter().enumerate() {
+            let attempt = AttemptNumber(id >> 16);
+            assert_eq!(
+                (id & 0xffff) as usize,
+                i,
+                "a token stands at its own offset"
+            );
+            if current != Some(attempt) {
+                assert!(
+                    Some(attempt) > current,
+                    "an attempt that was given up is not taken back"
+                );
+                assert_eq!(
+                    self.runs[&attempt].prefix, i,
+                    "an attempt continues what it knows"
+                );
+                current = Some(attempt);
+            }
+        }
+    }
+}
+
+fn favor() -> impl Strategy<Value = Favor> {
+    prop_oneof![Just(Favor::Latency), Just(Favor::Resources)]
+}
+
+proptest! {
+    #![proptest_config(fixed(2_000))]
+
+    #[test]
+    fn the_answer_is_one_generation(
+        favor in favor(),
+        steps in prop::collection::vec(step(), 1..120),
+    ) {
+        let mut model = Model::new(favor);
+        for step in &steps {
+            model.run(step);
+            model.check_one_generation();
+        }
+        prop_assert!(!(model.finished && model.given_up.is_some()));
+    }
+
+    #[test]
+    fn a_generation_ends_once_its_attempts_behave(
+        favor in favor(),
+        steps in prop::collection::vec(step(), 1..60),
+    ) {
+        let mut model = Model::new(favor);
+        for step in &steps {
+            model.run(step);
+        }
+        // From here on the newest attempt delivers all it has whenever time passes.
+        for _ in 0..400 {
+            if model.finished || model.given_up.is_some() {
+                break;
+            }
+            model.run(&Step::Wait { ms: 20 });
+            let newest = model.runs.len() - 1;
+            model.run(&Step::Tokens { attempt: newest, count: 1 });
+        }
+        prop_assert!(model.finished || model.given_up.is_some());
+        model.check_one_generation();
+    }
+
+    #[test]
+    fn not_run_is_said_only_if_every_attempt_was_refused(
+        favor in favor(),
+        steps in prop::collection::vec(step(), 1..60),
+    ) {
+        let mut model = Model::new(favor);
+        let mut was_heard = false;
+        for step in &steps {
+            let is_over = model.machine.is_done();
+            let is_word = matches!(step, Step::Tokens { .. } | Step::Repeat { .. } | Step::Alive { .. });
+            was_heard |= !is_over && is_word;
+            model.run(step);
+        }
+        if let Some((Outcome::NotRun, _)) = model.given_up {
+            prop_assert!(!was_heard);
+        }
+        if model.given_up.is_some() && was_heard {
+            prop_assert_ne!(model.given_up.unwrap().0, Outcome::NotRun);
+        }
+    }
+}
+
+#[test]
+fn a_standby_that_speaks_first_takes_over() {
+    let mut model = Model::new(Favor::Latency);
+    model.run(&Step::Tokens {
+        attempt: 0,
+        count: 4,
+    });
+    model.run(&Step::Wait { ms: 1_500 });
+    assert_eq!(model.runs.len(), 2, "silence starts a standby");
+    model.run(&Step::Tokens {
+        attempt: 1,
+        count: 2,
+    });
+    model.run(&Step::Tokens {
+        attempt: 0,
+        count: 2,
+    });
+    assert_eq!(model.emitted.len(), 6);
+    assert_eq!(model.machine.current_attempt(), Some(AttemptNumber(2)));
+}
+
+#[test]
+fn a_suspected_attempt_that_goes_on_keeps_its_place() {
+    let mut model = Model::new(Favor::Latency);
+    model.run(&Step::Tokens {
+        attempt: 0,
+        count: 4,
+    });
+    model.run(&Step::Wait { ms: 1_500 });
+    model.run(&Step::Tokens {
+        attempt: 0,
+        count: 2,
+    });
+    model.run(&Step::Tokens {
+        attempt: 1,
+        count: 2,
+    });
+    assert_eq!(model.emitted.len(), 6);
+    assert_eq!(model.machine.current_attempt(), Some(AttemptNumber(1)));
+    assert_eq!(model.machine.stats().false_suspicions, 1);
+}
+
+#[test]
+fn a_move_holds_the_old_tokens_until_the_new_attempt_speaks() {
+    let mut model = Model::new(Favor::Latency);
+    model.run(&Step::Tokens {
+        attempt: 0,
+        count: 4,
+    });
+    model.run(&Step::Move { attempt: 0 });
+    model.run(&Step::Tokens {
+        attempt: 0,
+        count: 3,
+    });
+    assert_eq!(model.emitted.len(), 4, "tokens of the old attempt are held");
+    model.run(&Step::Refuse { attempt: 1 });
+    assert_eq!(model.emitted.len(), 7, "and come out if the move fails");
+}
+
+#[test]
+fn a_move_whose_old_attempt_dies_goes_on_from_the_new_prefix() {
+    let mut model = Model::new(Favor::Latency);
+    model.run(&Step::Tokens {
+        attempt: 0,
+        count: 4,
+    });
+    model.run(&Step::Move { attempt: 0 });
+    model.run(&Step::Tokens {
+        attempt: 0,
+        count: 1,
+    });
+    model.run(&Step::Lose { attempt: 0 });
+    assert_eq!(
+        model.emitted.len(),
+        4,
+        "held tokens of the dead attempt are dropped"
+    );
+    model.run(&Step::Tokens {
+        attempt: 1,
+        count: 2,
+    });
+    model.check_one_generation();
+    assert_eq!(model.emitted.len(), 6);
+}
+
+#[test]
+fn a_router_that_took_over_gives_up_rather_than_mix() {
+    let now = Instant::now();
+    let cfg = GenerationConfig::for_favor(Favor::Latency);
+    let attempt = AttemptNumber(3);
+    let mut machine = Generation::take_over(cfg, attempt, 10, now);
+    let mut rng = StdRng::seed_from_u64(1);
+    let actions = machine.handle(
+        Event::Ended {
+            attempt,
+            length: 0,
+            end: AttemptEnd::Lost(Reason::AgentLost),
+        },
+        now,
+        &mut rng,
+    );
+    assert!(actions.contains(&Action::GiveUp(Outcome::Failed, Reason::GenerationLost)));
+}
--- /dev/null
+++ b/crates/cactusbarrow_policy/tests/routing.rs
@@ -0,0 +1,298 @@
+//! Choice, subset, limits, budgets, orders and suspicion.
+
+mod common;
+
+use std::collections::{HashMap, HashSet};
+use std::time::{Duration, Instant};
+
+use cactusbarrow_policy::{
+    BackendHealth, BackendLoad, Backoff, Candidate, ChooseConfig, CustomerLimits, CustomerTable,
+    EngineOrders, HealthConfig, LimitRefusal, LoadTable, Member, OrderConfig, RetryBudget,
+    Revision, SubsetConfig, Suspicion, SuspicionConfig, select_subset,
+};
+use common::fixed;
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+const LIMIT: usize = 8;
+
+fn names(prefix: &str, count: usize) -> Vec<String> {
+    (0..count).map(|i| format!("{prefix}-{i}")).collect()
+}
+
+fn candidates(names: &[String]) -> Vec<Candidate<'_>> {
+    names
+        .iter()
+        .enumerate()
+        .map(|(i, name)| Candidate {
+            name,
+            is_same_zone: i % 2 == 0,
+            limit: LIMIT,
+        })
+        .collect()
+}
+
+proptest! {
+    #![proptest_config(fixed(500))]
+
+    #[test]
+    fn a_choice_is_usable_and_has_room(
+        loads in prop::collection::vec((0..12_usize, any::<bool>(), any::<bool>()), 1..20),
+        prompt in ".{0,20}",
+        seed in any::<u64>(),
+    ) {
+        let names = names("engine", loads.len());
+        let mut table = LoadTable::new();
+        for (name, (in_flight, is_draining, is_alive)) in names.iter().zip(&loads) {
+            table.record_report(name, BackendLoad {
+                in_flight: *in_flight,
+                is_draining: *is_draining,
+                is_alive: *is_alive,
+            });
+        }
+        let mut rng = StdRng::seed_from_u64(seed);
+        let cfg = ChooseConfig::default();
+        let now = Instant::now();
+        let candidates = candidates(&names);
+        let choice = table.choose(&cfg, &candidates, Some(prompt.as_bytes()), now, &mut rng);
+        let is_usable = |(in_flight, is_draining, is_alive): &(usize, bool, bool)| {
+            *in_flight < LIMIT && !is_draining && *is_alive
+        };
+        match choice {
+            Some(i) => prop_assert!(is_usable(&loads[i])),
+            None => prop_assert!(!loads.iter().any(|load| is_usable(load))),
+        }
+    }
+
+    #[test]
+    fn affinity_keeps_the_load_bounded(prompts in prop::collection::vec(0..3_u8, 40..80)) {
+        let names = names("engine", 8);
+        let candidates: Vec<Candidate<'_>> = names
+            .iter()
+            .map(|name| Candidate { name, is_same_zone: true, limit: 64 })
+            .collect();
+        let mut table = LoadTable::new();
+        let mut rng = StdRng::seed_from_u64(1);
+        let cfg = ChooseConfig::default();
+        for prompt in &prompts {
+            let i = table
+                .choose(&cfg, &candidates, Some(&[*prompt]), Instant::now(), &mut rng)
+                .unwrap();
+            table.record_start(&names[i]);
+        }
+        let most = names.iter().map(|name| table.in_flight(name)).max().unwrap();
+        let mean = prompts.len() as f64 / names.len() as f64;
+        prop_assert!(most as f64 <= mean * cfg.affinity_bound + 2.0, "{most} of {mean}");
+    }
+
+    #[test]
+    fn a_subset_changes_little(
+        members in 50..300_usize,
+        routers in 2..40_usize,
+        gone in any::<prop::sample::Index>(),
+    ) {
+        let members = names("engine", members);
+        let routers = names("router", routers);
+        let as_members = |names: &[String]| -> Vec<(String, String)> {
+            names.iter().map(|n| (n.clone(), "model".to_owned())).collect()
+        };
+        let select = |members: &[(String, String)], routers: &[String]| -> HashSet<String> {
+            let list: Vec<Member<'_>> = members
+                .iter()
+                .map(|(name, group)| Member { name, group })
+                .collect();
+            let zone: Vec<&str> = routers.iter().map(String::as_str).collect();
+            select_subset(&SubsetConfig::default(), &routers[0], &zone, &list)
+                .into_iter()
+                .map(|i| members[i].0.clone())
+                .collect()
+        };
+        let all = as_members(&members);
+        let before = select(&all, &routers);
+        let gone = gone.index(all.len());
+        let mut fewer = all.clone();
+        let (name, _) = fewer.remove(gone);
+        let after = select(&fewer, &routers);
+        let mut expected = before.clone();
+        expected.remove(&name);
+        prop_assert!(after.is_superset(&expected));
+        prop_assert!(after.difference(&expected).count() <= 1);
+    }
+
+    #[test]
+    fn every_member_is_covered_in_every_zone(members in 30..200_usize, routers in 1..20_usize) {
+        let members = names("engine", members);
+        let routers = names("router", routers);
+        let zone: Vec<&str> = routers.iter().map(String::as_str).collect();
+        let list: Vec<Member<'_>> = members
+            .iter()
+            .map(|name| Member { name, group: "model" })
+            .collect();
+        let mut covered = HashSet::new();
+        for router in &routers {
+            covered.extend(select_subset(&SubsetConfig::default(), router, &zone, &list));
+        }
+        prop_assert_eq!(covered.len(), members.len());
+    }
+
+    #[test]
+    fn a_budget_bounds_retries(requests in prop::collection::vec(any::<bool>(), 1..400)) {
+        let mut budget = RetryBudget::new(0.2, 10.0);
+        let (mut made, mut retried) = (0_u32, 0_u32);
+        for is_request in requests {
+            if is_request {
+                budget.record_request();
+                made += 1;
+            } else {
+                retried += u32::from(budget.try_retry());
+            }
+        }
+        prop_assert!(f64::from(retried) <= 10.0 + 0.2 * f64::from(made) + 1e-6);
+    }
+
+    #[test]
+    fn customers_stay_within_their_limits(steps in prop::collection::vec((0..3_u8, any::<bool>()), 1..200)) {
+        let limits = CustomerLimits { in_flight: 5, tokens_per_second: 100 };
+        let mut table = CustomerTable::new();
+        let now = Instant::now();
+        let mut in_flight: HashMap<u8, u32> = HashMap::new();
+        for (customer, admit) in steps {
+            let name = format!("customer-{customer}");
+            let held = in_flight.entry(customer).or_default();
+            if admit {
+                let admitted = table.admit(&name, limits, 1, now);
+                prop_assert_eq!(admitted.is_ok(), *held < 5);
+                *held += u32::from(admitted.is_ok());
+            } else if *held > 0 {
+                table.release(&name);
+                *held -= 1;
+            }
+        }
+    }
+
+    #[test]
+    fn backoff_grows_within_its_bounds(retry in 0..40_u32, seed in any::<u64>()) {
+        let max = Duration::from_millis(800);
+        let backoff = Backoff::new(Duration::from_millis(40), max);
+        let wait = backoff.delay(retry, &mut StdRng::seed_from_u64(seed));
+        prop_assert!(wait <= max);
+        prop_assert!(wait >= Duration::from_millis(20));
+    }
+
+    #[test]
+    fn the_tolerated_gap_follows_the_pace(gap_ms in 1..400_u64) {
+        let cfg = SuspicionConfig::favor_latency();
+        let mut suspicion = Suspicion::new(cfg);
+        for _ in 0..50 {
+            suspicion.record_gap(Duration::from_millis(gap_ms));
+        }
+        let timeout = suspicion.token_timeout();
+        prop_assert!(timeout >= Duration::from_millis(gap_ms));
+        prop_assert!(timeout >= cfg.floor && timeout <= cfg.ceiling);
+    }
+}
+
+#[test]
+fn a_failed_backend_is_taken_back_gradually() {
+    let names = names("engine", 1);
+    let candidates = candidates(&names);
+    let cfg = ChooseConfig::default();
+    let mut table = LoadTable::new();
+    let mut rng = StdRng::seed_from_u64(1);
+    let failed = Instant::now();
+    table.record_failure(&names[0], failed);
+    let mut room_at = |seconds: u64| {
+        let now = failed + Duration::from_secs(seconds);
+        let mut table = table.clone();
+        (0..LIMIT)
+            .take_while(|_| {
+                let choice = table.choose(&cfg, &candidates, None, now, &mut rng);
+                table.record_start(&names[0]);
+                choice.is_some()
+            })
+            .count()
+    };
+    assert_eq!(room_at(1), 0);
+    assert_eq!(room_at(2), 1);
+    assert!(room_at(7) > 2 && room_at(7) < LIMIT);
+    assert_eq!(room_at(20), LIMIT);
+}
+
+#[test]
+fn spent_tokens_are_refused_until_they_are_earned_again() {
+    let limits = CustomerLimits {
+        in_flight: 5,
+        tokens_per_second: 100,
+    };
+    let mut table = CustomerTable::new();
+    let now = Instant::now();
+    assert!(table.admit("a", limits, 1, now).is_ok());
+    table.charge("a", 400);
+    assert_eq!(table.admit("a", limits, 1, now), Err(LimitRefusal::Rate));
+    let later = now + Duration::from_secs(3);
+    assert!(table.admit("a", limits, 1, later).is_ok());
+}
+
+#[test]
+fn an_order_waits_for_news_after_a_pause() {
+    let now = Instant::now();
+    let mut orders = EngineOrders::new(OrderConfig::default());
+    orders.record_loaded(Some("v1"));
+    orders.record_heard(now);
+    orders.want("v2", Revision(7), "engine-1", 1, now);
+    let woken = now + Duration::from_secs(60);
+    assert_eq!(orders.next_order(woken), None, "the view may be old");
+    orders.record_heard(woken);
+    orders.want("v3", Revision(9), "engine-1", 1, woken);
+    let order = orders.next_order(woken).expect("the order is due");
+    assert_eq!((order.version.as_str(), order.fence), ("v3", Revision(9)));
+    assert_eq!(orders.next_order(woken), None, "one order at a time");
+    orders.record_result(&order, true, woken);
+    orders.want("v2", Revision(8), "engine-1", 1, woken);
+    assert_eq!(
+        orders.next_order(woken),
+        None,
+        "an older wish does not count"
+    );
+}
+
+#[test]
+fn loads_are_spread_over_the_weight_stores_time() {
+    let now = Instant::now();
+    let cfg = OrderConfig::default();
+    let due_at = |name: &str| {
+        let mut orders = EngineOrders::new(cfg);
+        orders.want("v1", Revision(1), name, 400, now);
+        (0..40_u64).find(|s| {
+            let at = now + Duration::from_secs(*s);
+            orders.record_heard(at);
+            orders.clone().next_order(at).is_some()
+        })
+    };
+    let mut per_second: HashMap<u64, usize> = HashMap::new();
+    for name in names("engine", 400) {
+        *per_second.entry(due_at(&name).unwrap()).or_default() += 1;
+    }
+    let most = per_second.values().max().copied().unwrap();
+    assert!(most as f64 <= cfg.loads_per_second * 2.0, "{per_second:?}");
+}
+
+#[test]
+fn an_engine_whose_streams_all_stall_is_dead() {
+    let now = Instant::now();
+    let mut health = BackendHealth::new(HealthConfig::default());
+    assert!(
+        health.is_alive(now + Duration::from_secs(60)),
+        "idle is not dead"
+    );
+    health.record_decode_start(now);
+    assert!(health.is_alive(now + Duration::from_millis(400)));
+    assert!(!health.is_alive(now + Duration::from_millis(600)));
+    health.record_token(now + Duration::from_millis(700));
+    assert!(health.is_alive(now + Duration::from_millis(800)));
+    health.record_decode_end(now + Duration::from_millis(800));
+    assert!(health.is_alive(now + Duration::from_secs(60)));
+    health.record_probe(false);
+    assert!(!health.is_alive(now + Duration::from_secs(60)));
+}
