--- /dev/null
+++ b/crates/cactusbarrow_net/tests/decoders.rs
@@ -0,0 +1,59 @@
+//! Decoders of what peers send: whole events however they are cut, errors for the rest.
+
+use cactusbarrow_net::{SseDecoder, SseEvent};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+
+fn fixed() -> Config {
+    Config {
+        cases: 500,
+        rng_seed: RngSeed::Fixed(0x0cac_7050),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+fn decode_all(decoder: &mut SseDecoder) -> Vec<SseEvent> {
+    let mut events = Vec::new();
+    while let Ok(Some(event)) = decoder.next_event() {
+        events.push(event);
+    }
+    events
+}
+
+proptest! {
+    #![proptest_config(fixed())]
+
+    #[test]
+    fn events_survive_any_cut(data in prop::collection::vec("[a-z {}é]{1,12}", 1..8), cut in 1..7_usize) {
+        let stream: String = data
+            .iter()
+            .enumerate()
+            .map(|(i, data)| format!("id: {i}\r\ndata: {data}\n\n"))
+            .collect();
+        let mut decoder = SseDecoder::default();
+        let mut events = Vec::new();
+        for chunk in stream.as_bytes().chunks(cut) {
+            decoder.push(chunk);
+            events.extend(decode_all(&mut decoder));
+        }
+        let got: Vec<String> = events.iter().map(|e| e.data.clone()).collect();
+        let sent: Vec<String> = data.iter().map(|d| d.to_owned()).collect();
+        prop_assert_eq!(got, sent);
+    }
+
+    #[test]
+    fn any_bytes_give_events_or_an_error(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        let mut decoder = SseDecoder::default();
+        decoder.push(&bytes);
+        // Each event takes at least one byte, so this ends.
+        prop_assert!(decode_all(&mut decoder).len() <= bytes.len());
+    }
+}
+
+#[test]
+fn an_endless_line_is_an_error() {
+    let mut decoder = SseDecoder::default();
+    decoder.push(&vec![b'x'; (1 << 20) + 1]);
+    assert!(decoder.next_event().is_err());
+}
--- /dev/null
+++ b/crates/cactusbarrow_platform/tests/commits.rs
@@ -0,0 +1,318 @@
+//! Acceptance of changes: races, retries, lost answers and what readers see of them.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use cactusbarrow_document::{Customer, ModelVersion, Object, hash_api_key};
+use cactusbarrow_platform::{
+    CommitError, CommitRequest, ConfigReader, Edit, Plan, PlanError, Root, Shard, Store,
+    StoreError, Versioned, commit, plan_commit,
+};
+use cactusbarrow_policy::{Adoption, Revision};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+
+/// What happens to one write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fate {
+    Answered,
+    AnswerLost,
+    Refused,
+}
+
+#[derive(Clone, Default)]
+struct FakeStore {
+    state: Arc<Mutex<FakeState>>,
+}
+
+#[derive(Default)]
+struct FakeState {
+    index: u64,
+    values: BTreeMap<String, (u64, Bytes)>,
+    fates: Vec<Fate>,
+}
+
+impl FakeStore {
+    fn with_fates(fates: Vec<Fate>) -> Self {
+        let store = Self::default();
+        store.state.lock().unwrap().fates = fates;
+        store
+    }
+
+    fn write(&self, key: &str, f: impl FnOnce(&mut FakeState) -> bool) -> Result<bool, StoreError> {
+        let mut state = self.state.lock().unwrap();
+        let fate = state.fates.pop().unwrap_or(Fate::Answered);
+        let is_done = fate != Fate::Refused && f(&mut state);
+        if fate == Fate::Answered {
+            return Ok(is_done);
+        }
+        Err(StoreError {
+            step: "write",
+            key: key.to_owned(),
+            peer: "fake".to_owned(),
+            message: format!("{fate:?}"),
+        })
+    }
+}
+
+impl Store for FakeStore {
+    async fn get(&self, key: &str) -> Result<Option<Versioned>, StoreError> {
+        let state = self.state.lock().unwrap();
+        Ok(state.values.get(key).map(|(index, value)| Versioned {
+            value: value.clone(),
+            index: *index,
+        }))
+    }
+
+    async fn watch(&self, key: &str, _: u64, _: Duration) -> Result<Option<Versioned>, StoreError> {
+        self.get(key).await
+    }
+
+    async fn compare_and_swap(
+        &self,
+        key: &str,
+        value: Bytes,
+        expected: u64,
+    ) -> Result<bool, StoreError> {
+        self.write(key, |state| {
+            let held = state.values.get(key).map_or(0, |v| v.0);
+            if held == expected {
+                state.index += 1;
+                state.values.insert(key.to_owned(), (state.index, value));
+            }
+            held == expected
+        })
+    }
+
+    async fn put(&self, key: &str, value: Bytes) -> Result<(), StoreError> {
+        let put = |state: &mut FakeState| {
+            state.index += 1;
+            state.values.insert(key.to_owned(), (state.index, value));
+            true
+        };
+        self.write(key, put).map(|_| ())
+    }
+
+    async fn delete(&self, key: &str) -> Result<(), StoreError> {
+        let delete = |state: &mut FakeState| state.values.remove(key).is_some();
+        self.write(key, delete).map(|_| ())
+    }
+}
+
+fn version(name: &str, weights: &str) -> Object {
+    Object::ModelVersion(ModelVersion {
+        name: name.to_owned(),
+        model: "m".to_owned(),
+        weights: weights.to_owned(),
+        adapters: Vec::new(),
+    })
+}
+
+fn request(operation: &str, base: u64, edits: Vec<Edit>) -> CommitRequest {
+    CommitRequest {
+        operation: operation.to_owned(),
+        base: Revision(base),
+        edits,
+    }
+}
+
+fn set(operation: &str, base: u64, name: &str, weights: &str) -> CommitRequest {
+    request(operation, base, vec![Edit::Set(version(name, weights))])
+}
+
+fn refusal(error: CommitError) -> PlanError {
+    match error {
+        CommitError::Refused(e) => e,
+        other => panic!("unexpected error: {other}"),
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_retry_learns_that_it_was_accepted() {
+    let store = FakeStore::default();
+    let req = set("op-1", 0, "v1", "a");
+    let first = commit(&store, &req).await.unwrap();
+    let again = commit(&store, &req).await.unwrap();
+    assert_eq!((first.revision, again.revision), (Revision(1), Revision(1)));
+    assert!(!first.is_replay && again.is_replay);
+    let other = set("op-1", 1, "v1", "b");
+    let error = refusal(commit(&store, &other).await.unwrap_err());
+    assert!(matches!(error, PlanError::OperationReused { .. }));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_race_names_what_moved() {
+    let store = FakeStore::default();
+    commit(&store, &set("op-1", 0, "v1", "a")).await.unwrap();
+    commit(&store, &set("op-2", 1, "v1", "b")).await.unwrap();
+    let error = refusal(
+        commit(&store, &set("op-3", 1, "v1", "c"))
+            .await
+            .unwrap_err(),
+    );
+    assert_eq!(
+        error.to_string(),
+        "conflict at revision 2: model_version/v1 moved at 2;"
+    );
+    let disjoint = commit(&store, &set("op-4", 1, "v2", "d")).await.unwrap();
+    assert_eq!(
+        disjoint.revision,
+        Revision(3),
+        "changes that do not meet pass"
+    );
+    let delete = Edit::Delete("model_version/v2".parse().unwrap());
+    commit(&store, &request("op-5", 3, vec![delete]))
+        .await
+        .unwrap();
+    let error = refusal(
+        commit(&store, &set("op-6", 3, "v2", "e"))
+            .await
+            .unwrap_err(),
+    );
+    assert!(
+        matches!(error, PlanError::Conflict { .. }),
+        "a deletion counts, too"
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_lost_answer_is_settled_by_reading_back() {
+    // The fates are taken from the end: the shard's write, then the root's swap.
+    let store = FakeStore::with_fates(vec![Fate::AnswerLost, Fate::Answered]);
+    let done = commit(&store, &set("op-1", 0, "v1", "a")).await.unwrap();
+    assert_eq!(done.revision, Revision(1));
+    let store = FakeStore::with_fates(vec![Fate::Refused, Fate::Answered]);
+    let done = commit(&store, &set("op-1", 0, "v1", "a")).await.unwrap();
+    assert_eq!(
+        done.revision,
+        Revision(1),
+        "a swap that did not happen is made again"
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_change_with_faults_changes_nothing() {
+    let store = FakeStore::default();
+    let customer = Object::Customer(Customer {
+        name: "c".to_owned(),
+        key_sha256: hash_api_key("k"),
+        max_in_flight: 1,
+        tokens_per_second: 1,
+        services: vec!["nowhere".to_owned()],
+    });
+    let req = request("op-1", 0, vec![Edit::Set(customer)]);
+    let error = refusal(commit(&store, &req).await.unwrap_err());
+    assert!(matches!(&error, PlanError::Invalid(faults) if faults.len() == 1));
+    assert!(store.state.lock().unwrap().values.is_empty());
+}
+
+fn fixed() -> Config {
+    Config {
+        cases: 200,
+        rng_seed: RngSeed::Fixed(0x0cac_7050),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+fn fate() -> impl Strategy<Value = Fate> {
+    prop_oneof![
+        6 => Just(Fate::Answered),
+        1 => Just(Fate::AnswerLost),
+        1 => Just(Fate::Refused),
+    ]
+}
+
+proptest! {
+    #![proptest_config(fixed())]
+
+    #[test]
+    fn readers_follow_every_accepted_change(
+        changes in prop::collection::vec((0..5_u8, prop::option::weighted(0.8, 0..9_u8), any::<bool>()), 1..30),
+        fates in prop::collection::vec(fate(), 0..80),
+    ) {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_time()
+            .start_paused(true)
+            .build()
+            .unwrap();
+        runtime.block_on(async {
+            let store = FakeStore::with_fates(fates);
+            let mut reader = ConfigReader::new();
+            let mut adoption = Adoption::new();
+            let mut expected: BTreeMap<String, String> = BTreeMap::new();
+            let mut revision = 0;
+            for (i, (name, value, read)) in changes.into_iter().enumerate() {
+                let key = format!("model_version/v{name}");
+                let edit = match value {
+                    Some(value) => Edit::Set(version(&format!("v{name}"), &value.to_string())),
+                    None => Edit::Delete(key.parse().unwrap()),
+                };
+                let req = request(&format!("op-{i}"), revision, vec![edit.clone()]);
+                match commit(&store, &req).await {
+                    Ok(done) => {
+                        prop_assert!(done.revision.0 >= revision);
+                        revision = done.revision.0;
+                        match edit {
+                            Edit::Set(object) => expected.insert(key, object.to_json()),
+                            Edit::Delete(_) => expected.remove(&key),
+                        };
+                    }
+                    Err(CommitError::NotChanged(_)) => {}
+                    Err(e) => prop_assert!(false, "unexpected error: {e}"),
+                }
+                if read && let Some(delta) = reader.next(&store, Duration::ZERO).await.unwrap() {
+                    adoption.adopt(&delta).unwrap();
+                }
+            }
+            if let Some(delta) = reader.next(&store, Duration::ZERO).await.unwrap() {
+                adoption.adopt(&delta).unwrap();
+            }
+            let got: BTreeMap<String, String> = adoption
+                .objects()
+                .map(|(key, _, value)| (key.to_owned(), value.to_owned()))
+                .collect();
+            prop_assert_eq!(got, expected);
+            prop_assert_eq!(adoption.revision(), Revision(revision));
+            Ok(())
+        })?;
+    }
+
+    #[test]
+    fn any_stored_bytes_give_a_root_or_an_error(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        prop_assert!(Root::decode(&bytes).is_err() || !bytes.is_empty());
+        prop_assert!(Shard::decode("key", &bytes).is_err() || !bytes.is_empty());
+    }
+}
+
+#[test]
+fn receipts_are_bounded() {
+    let mut root = Root::default();
+    let mut shards: BTreeMap<String, Shard> = BTreeMap::new();
+    for i in 0..400_u64 {
+        let req = set(&format!("op-{i}"), root.revision, "v1", &i.to_string());
+        let plan = plan_commit(&root, &shards, &req).unwrap();
+        let Plan::Write {
+            root: next,
+            shards: written,
+            ..
+        } = plan
+        else {
+            panic!("a change writes");
+        };
+        root = *next;
+        for (key, value) in written {
+            let name = key.split('/').nth(2).unwrap().to_owned();
+            shards.insert(name, Shard::decode(&key, &value).unwrap());
+        }
+    }
+    assert!(
+        root.encode().len() < 64 << 10,
+        "{} bytes",
+        root.encode().len()
+    );
+    assert!(root.receipt("op-399").is_some());
+    assert!(root.receipt("op-1").is_none());
+}
--- /dev/null
+++ b/tests/failures.rs
@@ -0,0 +1,384 @@
+//! Failures over real sockets: what callers get when processes, the store and callers misbehave.
+
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cactusbarrow_document::Object;
+use cactusbarrow_platform::Edit;
+use cactusbarrow_standins::{
+    Caller, Cluster, ClusterConfig, Judgement, StreamEnd, Transcript, api_key,
+};
+use http::{Method, Response};
+
+const TOKENS: usize = 100;
+const TIMEOUT: Duration = Duration::from_secs(20);
+const PROMPT: &str = "a deposition";
+
+async fn small_cluster() -> Cluster {
+    Cluster::start(ClusterConfig {
+        routers: 2,
+        engines: 3,
+        services: 2,
+        customers: 2,
+        tune_agent: |cfg| {
+            cfg.move_after = Duration::from_millis(300);
+            cfg.grace = Duration::from_secs(20);
+        },
+        ..ClusterConfig::default()
+    })
+    .await
+}
+
+fn caller() -> Caller {
+    Caller::new(&api_key(0))
+}
+
+fn body(seed: u64) -> String {
+    Cluster::completion_body(PROMPT, seed, TOKENS)
+}
+
+/// Reads a stream until the transcript has some tokens.
+async fn read_some(
+    router: SocketAddr,
+    headers: &[(&str, &str)],
+    body: &str,
+    transcript: &mut Transcript,
+) {
+    let mut stream = caller()
+        .open(router, headers, body, transcript)
+        .await
+        .expect("the stream opens");
+    // The rest is left unread, as by a caller whose connection broke.
+    let read = stream.read(transcript);
+    let _ = tokio::time::timeout(Duration::from_millis(700), read).await;
+    assert!(!transcript.tokens.is_empty());
+}
+
+async fn read_rest(
+    router: SocketAddr,
+    headers: &[(&str, &str)],
+    body: &str,
+    transcript: &mut Transcript,
+) -> StreamEnd {
+    match caller().open(router, headers, body, transcript).await {
+        Ok(mut stream) => stream.read(transcript).await,
+        Err(end) => end,
+    }
+}
+
+fn judge(cluster: &Cluster, seed: u64, transcript: &Transcript) {
+    let judgement = cluster
+        .ledger
+        .judge(PROMPT, seed, &transcript.tokens, TOKENS);
+    assert_eq!(judgement, Judgement::default());
+    assert_eq!(transcript.tokens.len(), TOKENS);
+}
+
+async fn call(
+    router: SocketAddr,
+    method: Method,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> Response<Bytes> {
+    caller()
+        .send(router, method, path, headers, body, TIMEOUT)
+        .await
+        .expect("the router answers")
+}
+
+fn header(res: &Response<Bytes>, name: &str) -> String {
+    let value = res.headers().get(name).map(|v| v.to_str().unwrap_or(""));
+    value.unwrap_or("").to_owned()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_goes_on_at_another_router() {
+    let mut cluster = small_cluster().await;
+    let mut transcript = Transcript::default();
+    let first = cluster.routers.remove(0);
+    read_some(first.handle.listen, &[], &body(1), &mut transcript).await;
+    first.host.kill();
+    let other = cluster.routers[0].handle.listen;
+    let end = read_rest(other, &[], &body(1), &mut transcript).await;
+    assert_eq!(end, StreamEnd::Done);
+    judge(&cluster, 1, &transcript);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_generation_survives_the_host_of_its_agent_and_engine() {
+    let cluster = small_cluster().await;
+    let mut transcript = Transcript::default();
+    let router = cluster.routers[0].handle.listen;
+    let kill = async {
+        tokio::time::sleep(Duration::from_millis(700)).await;
+        for site in &cluster.engines {
+            if site.backend.stats.running.load(Ordering::Relaxed) > 0 {
+                site.agent.kill();
+                site.backend.host.kill();
+            }
+        }
+    };
+    let body = body(2);
+    let (end, ()) = tokio::join!(read_rest(router, &[], &body, &mut transcript), kill);
+    assert_eq!(end, StreamEnd::Done);
+    judge(&cluster, 2, &transcript);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_generation_whose_holder_died_with_its_router_ends_definitely() {
+    let mut cluster = small_cluster().await;
+    let mut transcript = Transcript::default();
+    let first = cluster.routers.remove(0);
+    read_some(first.handle.listen, &[], &body(3), &mut transcript).await;
+    for site in &cluster.engines {
+        site.agent.kill();
+    }
+    first.host.kill();
+    let had = transcript.tokens.clone();
+    let other = cluster.routers[0].handle.listen;
+    let end = read_rest(other, &[], &body(3), &mut transcript).await;
+    assert!(
+        matches!(&end, StreamEnd::Refused(answer) if answer.contains("generation_lost")),
+        "{end:?}"
+    );
+    assert_eq!(transcript.tokens, had, "no other generation's tokens");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn two_readers_under_one_key_share_one_generation() {
+    let cluster = small_cluster().await;
+    let headers = [("idempotency-key", "shared")];
+    let (one, two) = (
+        cluster.routers[0].handle.listen,
+        cluster.routers[1].handle.listen,
+    );
+    let (mut first, mut second) = (Transcript::default(), Transcript::default());
+    let body = body(4);
+    let late = async {
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        read_rest(two, &headers, &body, &mut second).await
+    };
+    let ends = tokio::join!(read_rest(one, &headers, &body, &mut first), late);
+    assert_eq!(ends, (StreamEnd::Done, StreamEnd::Done));
+    assert_eq!(first.tokens, second.tokens);
+    judge(&cluster, 4, &first);
+    let started: usize = cluster
+        .engines
+        .iter()
+        .map(|site| site.backend.stats.started.load(Ordering::Relaxed))
+        .sum();
+    assert_eq!(started, 1, "one generation was run");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_with_another_body_is_a_conflict_and_another_customer_reads_nothing() {
+    let cluster = small_cluster().await;
+    let router = cluster.routers[0].handle.listen;
+    let headers = [("idempotency-key", "mine")];
+    let mut transcript = Transcript::default();
+    read_some(router, &headers, &body(5), &mut transcript).await;
+    let end = read_rest(router, &headers, &body(6), &mut Transcript::default()).await;
+    assert!(
+        matches!(&end, StreamEnd::Refused(answer) if answer.contains("key_conflict")),
+        "{end:?}"
+    );
+    let thief = Caller::new(&api_key(1));
+    let mut stolen = transcript.clone();
+    let opened = thief.open(router, &[], &body(5), &stolen).await;
+    assert!(
+        matches!(&opened, Err(StreamEnd::Refused(answer)) if answer.contains("generation_lost")),
+        "{opened:?}"
+    );
+    stolen.last_event_id = None;
+    let mut own = thief
+        .open(router, &headers, &body(5), &stolen)
+        .await
+        .expect("the same key of another customer is another request");
+    let mut other = Transcript::default();
+    assert_eq!(own.read(&mut other).await, StreamEnd::Done);
+    assert_ne!(other.tokens, transcript.tokens);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_drained_engine_hands_its_generations_on() {
+    let cluster = small_cluster().await;
+    let router = cluster.routers[0].handle.listen;
+    let mut transcript = Transcript::default();
+    let body = body(7);
+    let drain = async {
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        let is_busy = |i: &usize| {
+            let stats = &cluster.engines[*i].backend.stats;
+            stats.running.load(Ordering::Relaxed) > 0
+        };
+        let busy = (0..cluster.engines.len()).find(is_busy).expect("one runs");
+        let mut object = cluster.engines[busy].object.clone();
+        object.draining = true;
+        let edits = vec![Edit::Set(Object::BackendServer(object))];
+        cluster.commit("drain", edits).await;
+        busy
+    };
+    let (end, busy) = tokio::join!(read_rest(router, &[], &body, &mut transcript), drain);
+    assert_eq!(end, StreamEnd::Done);
+    judge(&cluster, 7, &transcript);
+    let last = transcript.arrivals.last().expect("tokens arrived");
+    let places: Vec<&str> = transcript
+        .arrivals
+        .iter()
+        .map(|a| a.backend_server.as_str())
+        .collect();
+    assert_ne!(
+        last.backend_server, cluster.engines[busy].name,
+        "{places:?}"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stamp_is_answered_again_and_run_once() {
+    let cluster = small_cluster().await;
+    let headers = [("idempotency-key", "stamp-1")];
+    let path = "/bookings/stamps";
+    let one = cluster.routers[0].handle.listen;
+    let two = cluster.routers[1].handle.listen;
+    let first = call(one, Method::POST, path, &headers, "stamp-1").await;
+    assert_eq!(first.body(), "done stamp-1");
+    let second = call(two, Method::POST, path, &headers, "stamp-1").await;
+    assert_eq!(second.body(), "done stamp-1");
+    assert_eq!(cluster.calls.runs_of("stamp-1").len(), 1);
+    let other = call(two, Method::POST, path, &headers, "stamp-2").await;
+    assert_eq!(header(&other, "cactusbarrow-reason"), "key_conflict");
+    assert!(cluster.calls.runs_of("stamp-2").is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stamp_during_an_outage_is_not_run_and_can_be_tried_again() {
+    let cluster = small_cluster().await;
+    let router = cluster.routers[0].handle.listen;
+    let path = "/bookings/stamps";
+    cluster.store.set_down(true);
+    let first = [
+        ("idempotency-key", "stamp-3"),
+        ("cactusbarrow-first-attempt", "1"),
+    ];
+    let refused = call(router, Method::POST, path, &first, "stamp-3").await;
+    assert_eq!(header(&refused, "cactusbarrow-outcome"), "not_run");
+    assert_eq!(header(&refused, "cactusbarrow-reason"), "store_unavailable");
+    assert_eq!(header(&refused, "retry-after"), "3");
+    let again = call(router, Method::POST, path, &first[..1], "stamp-3").await;
+    assert_eq!(header(&again, "cactusbarrow-outcome"), "unknown");
+    let unnamed = call(router, Method::POST, path, &[], "stamp-4").await;
+    assert_eq!(header(&unnamed, "cactusbarrow-outcome"), "not_run");
+    let lookup = call(router, Method::GET, "/bookings/stamps", &[], "").await;
+    assert_eq!(lookup.body(), "ok", "lookups need no store");
+    cluster.store.set_down(false);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let done = call(router, Method::POST, path, &first[..1], "stamp-3").await;
+    assert_eq!(done.body(), "done stamp-3");
+    assert_eq!(cluster.calls.runs_of("stamp-3").len(), 1);
+    assert!(cluster.calls.runs_of("stamp-4").is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stamp_whose_agent_dies_stays_unknown() {
+    let cluster = Cluster::start(ClusterConfig {
+        routers: 2,
+        engines: 0,
+        services: 2,
+        service_delay: Duration::from_millis(600),
+        ..ClusterConfig::default()
+    })
+    .await;
+    let router = cluster.routers[0].handle.listen;
+    let headers = [("idempotency-key", "stamp-5")];
+    let kill = async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        for site in &cluster.services {
+            site.agent.kill();
+        }
+    };
+    let path = "/bookings/stamps";
+    let (res, ()) = tokio::join!(call(router, Method::POST, path, &headers, "stamp-5"), kill);
+    assert_eq!(header(&res, "cactusbarrow-outcome"), "unknown");
+    let other = cluster.routers[1].handle.listen;
+    let again = call(other, Method::POST, path, &headers, "stamp-5").await;
+    assert_eq!(header(&again, "cactusbarrow-outcome"), "unknown");
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert!(cluster.calls.runs_of("stamp-5").len() <= 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn refusals_are_typed() {
+    let cluster = small_cluster().await;
+    let router = cluster.routers[0].handle.listen;
+    let completions = "/v1/completions";
+    let mut refusals = Vec::new();
+    let key = [("idempotency-key", "k")];
+    let too_large = "x".repeat((4 << 20) + 1);
+    let cases: [(&str, &[(&str, &str)], &str, &str); 6] = [
+        ("no such path", &[], "/nowhere", "{}"),
+        ("malformed body", &[], completions, "{\"model\": 3}"),
+        ("malformed body of a retry", &key, completions, "{}"),
+        (
+            "no such model",
+            &[],
+            completions,
+            "{\"model\": \"x\", \"prompt\": \"\"}",
+        ),
+        (
+            "bad position",
+            &[("last-event-id", "x")],
+            completions,
+            "{\"model\": \"captions\", \"prompt\": \"\"}",
+        ),
+        ("body too large", &[], completions, &too_large),
+    ];
+    for (name, headers, path, body) in cases {
+        let res = call(router, Method::POST, path, headers, body).await;
+        refusals.push(render(name, &res));
+    }
+    let stranger = Caller::new("nobody");
+    let res = stranger
+        .send(router, Method::POST, completions, &[], "{}", TIMEOUT)
+        .await
+        .expect("the router answers");
+    refusals.push(render("unknown caller", &res));
+    insta::assert_snapshot!(refusals.join("\n"));
+}
+
+fn render(name: &str, res: &Response<Bytes>) -> String {
+    let retry = header(res, "retry-after");
+    let text = String::from_utf8_lossy(res.body());
+    format!("{name}: {} retry-after={retry:?}\n  {text}", res.status())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_no_engine_can_take_is_refused_within_its_patience() {
+    let cluster = small_cluster().await;
+    for site in &cluster.engines {
+        site.agent.kill();
+    }
+    let router = cluster.routers[0].handle.listen;
+    let started = std::time::Instant::now();
+    let res = call(router, Method::POST, "/v1/completions", &[], &body(8)).await;
+    assert_eq!(header(&res, "cactusbarrow-outcome"), "not_run");
+    assert!(started.elapsed() < Duration::from_secs(8));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_router_started_in_an_outage_learns_from_its_peers() {
+    let mut cluster = small_cluster().await;
+    let revision = cluster.routers[0].handle.revision();
+    cluster.store.set_down(true);
+    let mut late = cluster.start_router(7, None).await;
+    late.handle.wait_for_revision(revision).await;
+    assert_eq!(late.handle.revision(), revision);
+    let router = late.handle.listen;
+    cluster.routers.push(late);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let mut transcript = Transcript::default();
+    let end = read_rest(router, &[], &body(9), &mut transcript).await;
+    assert_eq!(end, StreamEnd::Done);
+}
