Start waiting requests by customers' shares, resumed generations first

A service without room keeps its requests in a queue: generations that lost their engine first, then the customer with the fewest requests running. A request that cannot be started within its caller's patience is refused at once as not run. A caller that names a position is no longer told not_run.

--- a/crates/cactusbarrow_net/tests/decoders.rs
+++ b/crates/cactusbarrow_net/tests/decoders.rs
@@ -38,8 +38,7 @@
             events.extend(decode_all(&mut decoder));
         }
         let got: Vec<String> = events.iter().map(|e| e.data.clone()).collect();
-        let sent: Vec<String> = data.iter().map(|d| d.to_owned()).collect();
-        prop_assert_eq!(got, sent);
+        prop_assert_eq!(got, data);
     }
 
     #[test]
--- a/crates/cactusbarrow_policy/src/generation.rs
+++ b/crates/cactusbarrow_policy/src/generation.rs
@@ -79,11 +79,18 @@
     Lost(Reason),
     /// The backend server refused the request itself; no other would accept it.
     Rejected(Reason),
+    /// The attempt was not started, and cannot be within the caller's patience.
+    Declined(Reason),
 }
 
 /// What happened to a generation.
 #[derive(Clone, Debug)]
 pub enum Event<'a> {
+    /// The attempt was sent to an agent.
+    Launched {
+        /// The attempt.
+        attempt: AttemptNumber,
+    },
     /// The agent is alive, and says whether its engine is.
     Alive {
         /// The attempt the agent speaks of.
@@ -166,6 +173,7 @@
     last_token: Option<Instant>,
     last_heard: Instant,
     engine_dead_since: Option<Instant>,
+    is_queued: bool,
     suspicion: Suspicion,
 }
 
@@ -177,11 +185,20 @@
             last_token: None,
             last_heard: now,
             engine_dead_since: None,
+            is_queued: false,
             suspicion: Suspicion::new(cfg),
         }
     }
 
-    fn suspect_at(&self) -> Instant {
+    fn is_suspect(&self, now: Instant) -> bool {
+        self.suspect_at().is_some_and(|at| now >= at)
+    }
+
+    /// Returns when the attempt is suspected; `None` while it waits for room.
+    fn suspect_at(&self) -> Option<Instant> {
+        if self.is_queued {
+            return None;
+        }
         let silence = self.last_heard + self.suspicion.agent_timeout();
         let dead = self
             .engine_dead_since
@@ -190,7 +207,7 @@
             Some(at) => at + self.suspicion.token_timeout(),
             None => self.started + self.suspicion.first_token_timeout(),
         };
-        silence.min(dead).min(stall)
+        Some(silence.min(dead).min(stall))
     }
 }
 
@@ -282,6 +299,23 @@
         self.current.as_ref().map(|attempt| attempt.number)
     }
 
+    /// Records that an attempt waits for room; it is not suspected until it is launched.
+    pub fn set_queued(&mut self, number: AttemptNumber) {
+        if let Some(attempt) = self.attempt_mut(number) {
+            attempt.is_queued = true;
+        }
+    }
+
+    /// Returns when the generation is given up unless a token comes.
+    pub fn give_up_at(&self) -> Instant {
+        let patience = if self.accepted.is_empty() {
+            self.cfg.first_patience
+        } else {
+            self.cfg.patience
+        };
+        self.progress_at + patience
+    }
+
     /// Returns when [`Event::Tick`] is due.
     pub fn next_wake(&self) -> Option<Instant> {
         if self.done {
@@ -289,8 +323,8 @@
         }
         let patience = self.give_up_at();
         let suspect = match (&self.current, &self.standby) {
-            (Some(current), None) => Some(current.suspect_at()),
-            (_, Some(standby)) => Some(standby.suspect_at()),
+            (Some(current), None) => current.suspect_at(),
+            (_, Some(standby)) => standby.suspect_at(),
             (None, None) => self.retry_at,
         };
         [suspect, self.move_at, Some(patience)]
@@ -306,6 +340,7 @@
             return actions;
         }
         match event {
+            Event::Launched { attempt } => self.on_launched(attempt, now),
             Event::Alive {
                 attempt,
                 engine_alive,
@@ -331,6 +366,14 @@
         actions
     }
 
+    fn on_launched(&mut self, number: AttemptNumber, now: Instant) {
+        if let Some(attempt) = self.attempt_mut(number) {
+            attempt.is_queued = false;
+            attempt.started = now;
+            attempt.last_heard = now;
+        }
+    }
+
     fn on_alive(&mut self, number: AttemptNumber, engine_alive: bool, now: Instant) {
         self.may_have_run = true;
         if let Some(attempt) = self.attempt_mut(number) {
@@ -406,7 +449,8 @@
         if !is_standby && !self.is_current(number) {
             return;
         }
-        self.may_have_run |= !matches!(end, AttemptEnd::Refused(_));
+        let was_sent = !matches!(end, AttemptEnd::Refused(_) | AttemptEnd::Declined(_));
+        self.may_have_run |= was_sent;
         if is_standby {
             self.on_standby_ended(number, length, end, now, rng, actions);
             return;
@@ -414,6 +458,10 @@
         match end {
             AttemptEnd::Finished(reason) => self.on_finished(length, reason, now, actions),
             AttemptEnd::Rejected(reason) => self.give_up(Outcome::Failed, reason, actions),
+            AttemptEnd::Declined(reason) => {
+                let outcome = self.outcome();
+                self.give_up(outcome, reason, actions);
+            }
             AttemptEnd::Lost(reason) => self.replace_current(reason, now, actions),
             AttemptEnd::Refused(reason) => self.on_refused(reason, now, rng, actions),
         }
@@ -492,14 +540,14 @@
             self.start_current(now, actions);
             return;
         }
-        if self.standby.as_ref().is_some_and(|s| now >= s.suspect_at()) {
+        if self.standby.as_ref().is_some_and(|s| s.is_suspect(now)) {
             self.drop_standby(actions);
             self.end_move(now, rng, actions);
         }
         if self.move_at.is_some_and(|at| now >= at) {
             self.start_move(now, actions);
         }
-        let is_suspect = self.current.as_ref().is_some_and(|a| now >= a.suspect_at());
+        let is_suspect = self.current.as_ref().is_some_and(|a| a.is_suspect(now));
         if is_suspect && self.standby.is_none() {
             self.on_suspected(now, actions);
         }
@@ -615,15 +663,6 @@
         actions.push(Action::GiveUp(outcome, reason));
     }
 
-    fn give_up_at(&self) -> Instant {
-        let patience = if self.accepted.is_empty() {
-            self.cfg.first_patience
-        } else {
-            self.cfg.patience
-        };
-        self.progress_at + patience
-    }
-
     fn outcome(&self) -> Outcome {
         if !self.accepted.is_empty() {
             Outcome::Failed
--- a/crates/cactusbarrow_policy/src/outcome.rs
+++ b/crates/cactusbarrow_policy/src/outcome.rs
@@ -103,6 +103,8 @@
     GenerationLost = "generation_lost",
     /// The backend server answered with an error that a retry does not mend.
     BackendError = "backend_error",
+    /// The queue is too long for the caller's patience.
+    QueueTooLong = "queue_too_long",
     /// The router has too many requests in flight.
     Overloaded = "overloaded",
     /// The process has adopted no configuration yet.
--- a/crates/cactusbarrow_policy/tests/routing.rs
+++ b/crates/cactusbarrow_policy/tests/routing.rs
@@ -61,7 +61,7 @@
         };
         match choice {
             Some(i) => prop_assert!(is_usable(&loads[i])),
-            None => prop_assert!(!loads.iter().any(|load| is_usable(load))),
+            None => prop_assert!(!loads.iter().any(is_usable)),
         }
     }
 
--- /dev/null
+++ b/crates/cactusbarrow_router/src/admission.rs
@@ -0,0 +1,139 @@
+//! Admission of attempts: waiting for room in the order that the policy gives.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
+
+use cactusbarrow_net::Clock;
+use cactusbarrow_platform::{HostList, Store};
+use cactusbarrow_policy::{FairQueue, QueueOrder, Ticket};
+use tokio::sync::oneshot;
+
+use crate::router::Router;
+
+#[derive(Debug)]
+struct ServiceQueue {
+    queue: FairQueue,
+    waiting: HashMap<Ticket, oneshot::Sender<()>>,
+}
+
+/// The queues of all services.
+#[derive(Debug)]
+pub(crate) struct Admission {
+    order: QueueOrder,
+    services: Mutex<HashMap<String, ServiceQueue>>,
+}
+
+/// A place in a queue; given up when dropped.
+#[derive(Debug)]
+pub(crate) struct Place<S: Store + HostList, C: Clock> {
+    router: Arc<Router<S, C>>,
+    service: String,
+    ticket: Ticket,
+    granted: Option<oneshot::Receiver<()>>,
+}
+
+impl Admission {
+    /// Creates empty queues.
+    pub(crate) fn new(order: QueueOrder) -> Self {
+        Self {
+            order,
+            services: Mutex::default(),
+        }
+    }
+
+    fn with<T>(&self, service: &str, f: impl FnOnce(&mut ServiceQueue) -> T) -> T {
+        let mut services = self.lock();
+        if let Some(queue) = services.get_mut(service) {
+            return f(queue);
+        }
+        let queue = services
+            .entry(service.to_owned())
+            .or_insert_with(|| ServiceQueue {
+                queue: FairQueue::new(self.order),
+                waiting: HashMap::new(),
+            });
+        f(queue)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<String, ServiceQueue>> {
+        self.services.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl<S: Store + HostList, C: Clock> Router<S, C> {
+    /// Returns true if requests of a service wait for room.
+    pub(crate) fn has_queue(&self, service: &str) -> bool {
+        self.admission.with(service, |q| !q.queue.is_empty())
+    }
+
+    /// Takes a place in a service's queue; `None` if the wait would exceed the deadline.
+    pub(crate) fn enqueue(
+        self: &Arc<Self>,
+        service: &str,
+        customer: &str,
+        is_resume: bool,
+        deadline: Instant,
+    ) -> Option<Place<S, C>> {
+        let now = self.clock.now();
+        let (tx, rx) = oneshot::channel();
+        let ticket = self.admission.with(service, |q| {
+            let ticket = q.queue.push(customer, is_resume, deadline, now)?;
+            q.waiting.insert(ticket, tx);
+            Some(ticket)
+        })?;
+        metrics::counter!("cactusbarrow_queued_total").increment(1);
+        Some(Place {
+            router: self.clone(),
+            service: service.to_owned(),
+            ticket,
+            granted: Some(rx),
+        })
+    }
+
+    /// Records that an attempt of a customer started.
+    pub(crate) fn record_attempt_start(&self, service: &str, customer: &str) {
+        let now = self.clock.now();
+        self.admission
+            .with(service, |q| q.queue.record_start(customer, now));
+    }
+
+    /// Records that an attempt of a customer ended, and lets the next one try.
+    pub(crate) fn record_attempt_end(&self, service: &str, customer: &str) {
+        self.admission
+            .with(service, |q| q.queue.record_end(customer));
+        self.grant_next(service);
+    }
+
+    /// Lets the request that is next in a service's queue try to start.
+    pub(crate) fn grant_next(&self, service: &str) {
+        let now = self.clock.now();
+        self.admission.with(service, |q| {
+            while let Some(ticket) = q.queue.pop(now) {
+                let granted = q.waiting.remove(&ticket).map(|tx| tx.send(()));
+                if granted == Some(Ok(())) {
+                    return;
+                }
+            }
+        });
+    }
+}
+
+impl<S: Store + HostList, C: Clock> Place<S, C> {
+    /// Waits until it is this request's turn; returns false if it waited too long.
+    pub(crate) async fn wait(mut self) -> bool {
+        let Some(granted) = self.granted.take() else {
+            return false;
+        };
+        granted.await.is_ok()
+    }
+}
+
+impl<S: Store + HostList, C: Clock> Drop for Place<S, C> {
+    fn drop(&mut self) {
+        self.router.admission.with(&self.service, |q| {
+            q.queue.remove(self.ticket);
+            q.waiting.remove(&self.ticket);
+        });
+    }
+}
--- a/crates/cactusbarrow_router/src/attempt.rs
+++ b/crates/cactusbarrow_router/src/attempt.rs
@@ -16,6 +16,8 @@
 /// What an attempt reports.
 #[derive(Clone, Debug)]
 pub(crate) enum AttemptEvent {
+    /// It is the turn of an attempt that waited for room.
+    Granted,
     /// The agent admitted it.
     Started {
         /// Requests in flight at the backend server.
--- a/crates/cactusbarrow_router/src/completions.rs
+++ b/crates/cactusbarrow_router/src/completions.rs
@@ -138,6 +138,7 @@
         generation,
         template,
         service: call.service.name.clone(),
+        customer: call.customer.name.clone(),
         key: call.key.key,
         is_fresh: call.key.is_fresh,
         position: 0,
--- a/crates/cactusbarrow_router/src/config.rs
+++ b/crates/cactusbarrow_router/src/config.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use cactusbarrow_policy::{ChooseConfig, ClaimConfig, Favor, GenerationConfig, SubsetConfig};
+use cactusbarrow_policy::{
+    ChooseConfig, ClaimConfig, Favor, GenerationConfig, QueueOrder, SubsetConfig,
+};
 
 /// Another router, as the settings or the platform's list name it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -51,6 +53,10 @@
     pub idle_read_interval: Duration,
     /// Age at which an unrepeatable call is no longer claimed.
     pub claim_deadline: Duration,
+    /// Order of requests that wait for room.
+    pub queue_order: QueueOrder,
+    /// Retries that each request of a service earns.
+    pub retries_per_request: f64,
     /// Tuning of claims.
     pub claims: ClaimConfig,
     /// Tuning of the choice of backend servers.
@@ -83,6 +89,8 @@
             watch_wait: Duration::from_secs(30),
             idle_read_interval: Duration::from_secs(30),
             claim_deadline: Duration::from_secs(2),
+            queue_order: QueueOrder::Fair,
+            retries_per_request: 0.2,
             claims: ClaimConfig::default(),
             choose: ChooseConfig::default(),
             subset: SubsetConfig::default(),
--- a/crates/cactusbarrow_router/src/drive.rs
+++ b/crates/cactusbarrow_router/src/drive.rs
@@ -34,6 +34,8 @@
     pub(crate) template: GenerateRequest,
     /// The service.
     pub(crate) service: String,
+    /// The customer.
+    pub(crate) customer: String,
     /// The caller's key.
     pub(crate) key: Option<KeyHash>,
     /// Whether no earlier request can have used the key.
@@ -54,6 +56,12 @@
     pub(crate) frames: FrameStream,
 }
 
+/// An attempt that waits for room.
+struct Pending {
+    attempt: AttemptNumber,
+    task: AbortHandle,
+}
+
 struct Running {
     backend_server: String,
     control: SocketAddr,
@@ -66,6 +74,7 @@
     req: DriveRequest,
     machine: Generation,
     running: HashMap<AttemptNumber, Running>,
+    pending: Option<Pending>,
     excluded: Vec<String>,
     last_end: Reason,
     has_lost_attempt: bool,
@@ -106,15 +115,7 @@
         let mut drive = Self::new(router, req, machine, permit, sink);
         let pump = attempt::pump(taken.frames, taken.attempt, drive.tx.clone());
         let task = drive.router.tasks.spawn(pump).abort_handle();
-        drive.router.load().record_start(&taken.backend_server);
-        drive.running.insert(
-            taken.attempt,
-            Running {
-                backend_server: taken.backend_server,
-                control: taken.control,
-                task,
-            },
-        );
+        drive.add_running(taken.attempt, &taken.backend_server, taken.control, task);
         drive.run().await;
     }
 
@@ -131,6 +132,7 @@
             req,
             machine,
             running: HashMap::new(),
+            pending: None,
             excluded: Vec::new(),
             last_end: Reason::NoBackend,
             has_lost_attempt: false,
@@ -169,6 +171,7 @@
 
     async fn on_event(&mut self, attempt: AttemptNumber, event: AttemptEvent) -> bool {
         match event {
+            AttemptEvent::Granted => self.on_granted(attempt).await,
             AttemptEvent::Started { in_flight } => {
                 self.on_started(attempt, in_flight);
                 let engine_alive = true;
@@ -243,24 +246,34 @@
         // An attempt that was refused cost nothing, and one with tokens is to be saved.
         let is_repeat = self.has_lost_attempt && prefix == 0;
         if is_repeat && !self.router.try_retry(&self.req.service, self.last_end) {
-            self.refuse(attempt, Reason::RetryBudget);
+            self.report(attempt, AttemptEnd::Refused(Reason::RetryBudget));
             return;
         }
         if attempt.0 > 1 {
             let reason = self.last_end.as_str();
             metrics::counter!("cactusbarrow_resumes_total", "reason" => reason).increment(1);
         }
+        let is_resume = prefix > 0;
+        let must_wait = !is_resume && self.router.has_queue(&self.req.service);
+        if must_wait || !self.launch(attempt, prefix) {
+            self.enqueue(attempt, is_resume);
+        }
+    }
+
+    /// Sends an attempt to a backend server; returns false if none has room.
+    fn launch(&mut self, attempt: AttemptNumber, prefix: usize) -> bool {
         let template = &self.req.template;
-        let server = self.router.choose(
-            &self.req.service,
-            Some(&template.version),
-            Some(template.prompt.as_bytes()),
-            &self.excluded,
-        );
-        let Some(server) = server else {
-            self.excluded.clear();
-            self.refuse(attempt, Reason::NoBackend);
-            return;
+        let choose = |excluded: &[String]| {
+            self.router.choose(
+                &self.req.service,
+                Some(&template.version),
+                Some(template.prompt.as_bytes()),
+                excluded,
+            )
+        };
+        // Servers that refused before may have room by now.
+        let Some(server) = choose(&self.excluded).or_else(|| choose(&[])) else {
+            return false;
         };
         let mut req = template.clone();
         req.attempt = attempt.0;
@@ -269,20 +282,77 @@
         let http = self.router.agents.clone();
         let run = attempt::run(http, server.agent(), req, self.tx.clone());
         let task = self.router.tasks.spawn(run).abort_handle();
-        self.router.load().record_start(server.name());
-        self.running.insert(
-            attempt,
-            Running {
-                backend_server: server.name().to_owned(),
-                control: server.control(),
-                task,
-            },
-        );
+        self.add_running(attempt, server.name(), server.control(), task);
+        true
+    }
+
+    fn add_running(
+        &mut self,
+        attempt: AttemptNumber,
+        backend_server: &str,
+        control: SocketAddr,
+        task: AbortHandle,
+    ) {
+        let (service, customer) = (&self.req.service, &self.req.customer);
+        self.router.load().record_start(backend_server);
+        self.router.record_attempt_start(service, customer);
+        let running = Running {
+            backend_server: backend_server.to_owned(),
+            control,
+            task,
+        };
+        self.running.insert(attempt, running);
+    }
+
+    fn remove_running(&mut self, attempt: AttemptNumber) -> Option<Running> {
+        let running = self.running.remove(&attempt)?;
+        let (service, customer) = (&self.req.service, &self.req.customer);
+        self.router.load().record_end(&running.backend_server);
+        self.router.record_attempt_end(service, customer);
+        Some(running)
+    }
+
+    /// Waits for room, or declines the attempt if the wait would be too long.
+    fn enqueue(&mut self, attempt: AttemptNumber, is_resume: bool) {
+        let deadline = self.machine.give_up_at();
+        let place = self
+            .router
+            .enqueue(&self.req.service, &self.req.customer, is_resume, deadline);
+        let Some(place) = place else {
+            self.report(attempt, AttemptEnd::Declined(Reason::QueueTooLong));
+            return;
+        };
+        let tx = self.tx.clone();
+        let wait = async move {
+            if place.wait().await {
+                // A driver that is gone needs no grant.
+                let _ = tx.send((attempt, AttemptEvent::Granted)).await;
+            }
+        };
+        let task = self.router.tasks.spawn(wait).abort_handle();
+        self.pending = Some(Pending { attempt, task });
+        self.machine.set_queued(attempt);
+    }
+
+    async fn on_granted(&mut self, attempt: AttemptNumber) -> bool {
+        let is_pending = self.pending.as_ref().is_some_and(|p| p.attempt == attempt);
+        if !is_pending {
+            self.router.grant_next(&self.req.service);
+            return true;
+        }
+        self.pending = None;
+        let prefix = self.machine.accepted().len();
+        if self.launch(attempt, prefix) {
+            // There may be room for more than one.
+            self.router.grant_next(&self.req.service);
+            return self.apply(Event::Launched { attempt }).await;
+        }
+        self.enqueue(attempt, prefix > 0);
+        true
     }
 
     /// Reports an attempt that could not be started, as an event of its own.
-    fn refuse(&mut self, attempt: AttemptNumber, reason: Reason) {
-        let end = AttemptEnd::Refused(reason);
+    fn report(&mut self, attempt: AttemptNumber, end: AttemptEnd) {
         let event = AttemptEvent::Ended { length: 0, end };
         let tx = self.tx.clone();
         // The queue may be full of tokens, and this task is the one that empties it.
@@ -292,11 +362,13 @@
     }
 
     fn cancel(&mut self, attempt: AttemptNumber) {
-        let Some(running) = self.running.remove(&attempt) else {
+        if let Some(pending) = self.pending.take_if(|p| p.attempt == attempt) {
+            pending.task.abort();
+        }
+        let Some(running) = self.remove_running(attempt) else {
             return;
         };
         running.task.abort();
-        self.router.load().record_end(&running.backend_server);
         if self.machine.is_done() || self.last_end == Reason::Moved {
             // The attempt is no longer needed, which says nothing of its backend server.
         } else {
@@ -367,7 +439,7 @@
         let server = running.backend_server.clone();
         let mut load = self.router.load();
         match end {
-            AttemptEnd::Finished(_) | AttemptEnd::Rejected(_) => {}
+            AttemptEnd::Finished(_) | AttemptEnd::Rejected(_) | AttemptEnd::Declined(_) => {}
             AttemptEnd::Refused(reason) => {
                 if reason == Reason::Draining {
                     load.record_draining(&server);
@@ -385,10 +457,9 @@
                 self.excluded.push(server.clone());
             }
         }
+        drop(load);
         if matches!(end, AttemptEnd::Refused(_)) {
-            load.record_end(&server);
-            drop(load);
-            self.running.remove(&attempt);
+            self.remove_running(attempt);
         }
     }
 
@@ -408,9 +479,14 @@
 impl<S: Store + HostList, C: Clock, K> Drop for Drive<S, C, K> {
     fn drop(&mut self) {
         // Attempts that still run go on at their agents for a while, for a reader that comes back.
+        if let Some(pending) = &self.pending {
+            pending.task.abort();
+        }
         for running in self.running.values() {
             running.task.abort();
             self.router.load().record_end(&running.backend_server);
+            self.router
+                .record_attempt_end(&self.req.service, &self.req.customer);
         }
     }
 }
--- a/crates/cactusbarrow_router/src/lib.rs
+++ b/crates/cactusbarrow_router/src/lib.rs
@@ -8,6 +8,7 @@
 
 #![warn(missing_docs)]
 
+mod admission;
 mod attempt;
 mod auth;
 mod calls;
--- a/crates/cactusbarrow_router/src/poll.rs
+++ b/crates/cactusbarrow_router/src/poll.rs
@@ -140,6 +140,7 @@
         is_alive: reply.engine_alive && is_loaded,
     };
     router.load().record_report(member.name(), load);
+    router.grant_next(&member.server.service);
 }
 
 fn view_of(fleet: &Fleet, member: &MemberServer) -> AgentView {
--- a/crates/cactusbarrow_router/src/request.rs
+++ b/crates/cactusbarrow_router/src/request.rs
@@ -1,7 +1,7 @@
 //! What a caller's request says, and how its key identifies it.
 
 use cactusbarrow_policy::{KeyHash, Outcome, Reason, stable_hash};
-use cactusbarrow_protocol::{FIRST_ATTEMPT_HEADER, IDEMPOTENCY_KEY_HEADER};
+use cactusbarrow_protocol::{FIRST_ATTEMPT_HEADER, IDEMPOTENCY_KEY_HEADER, LAST_EVENT_ID_HEADER};
 use http::HeaderMap;
 use serde::Deserialize;
 use sha2::{Digest, Sha256};
@@ -24,21 +24,24 @@
 impl RequestKey {
     /// Reads the key from a request's headers.
     pub(crate) fn from_headers(headers: &HeaderMap, customer: &str) -> Result<Self, Refusal> {
+        let is_fresh = outcome_if_unread(headers) == Outcome::NotRun;
         let Some(value) = headers.get(IDEMPOTENCY_KEY_HEADER) else {
             return Ok(Self {
                 key: None,
-                is_fresh: true,
+                is_fresh,
             });
         };
         if value.is_empty() || value.len() > MAX_KEY_BYTES {
-            return Err(
-                Refusal::new(Outcome::NotRun, Reason::BadRequest, "read idempotency key")
-                    .because(format!("the key must have 1 to {MAX_KEY_BYTES} bytes")),
-            );
+            return Err(Refusal::new(
+                outcome_if_unread(headers),
+                Reason::BadRequest,
+                "read idempotency key",
+            )
+            .because(format!("the key must have 1 to {MAX_KEY_BYTES} bytes")));
         }
         Ok(Self {
             key: Some(hash_key(customer, value.as_bytes())),
-            is_fresh: outcome_if_unread(headers) == Outcome::NotRun,
+            is_fresh,
         })
     }
 
@@ -59,7 +62,9 @@
     let is_first = headers
         .get(FIRST_ATTEMPT_HEADER)
         .is_some_and(|value| value == "1");
-    if is_first || !headers.contains_key(IDEMPOTENCY_KEY_HEADER) {
+    let is_repeated = headers.contains_key(IDEMPOTENCY_KEY_HEADER) && !is_first;
+    // A caller that names a position has read part of an answer.
+    if !is_repeated && !headers.contains_key(LAST_EVENT_ID_HEADER) {
         Outcome::NotRun
     } else {
         Outcome::Unknown
--- a/crates/cactusbarrow_router/src/resume.rs
+++ b/crates/cactusbarrow_router/src/resume.rs
@@ -204,6 +204,7 @@
         generation,
         template: held.req,
         service: call.service.name.clone(),
+        customer: call.customer.name.clone(),
         key: call.key.key,
         is_fresh: false,
         position,
--- a/crates/cactusbarrow_router/src/router.rs
+++ b/crates/cactusbarrow_router/src/router.rs
@@ -13,6 +13,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::admission::Admission;
 use crate::claim_owner::ClaimOwner;
 use crate::config::{Peer, RouterConfig};
 use crate::config_state::ConfigState;
@@ -23,8 +24,6 @@
 
 /// Shares of customers' usage, each locked on its own.
 const CUSTOMER_SHARDS: usize = 16;
-/// Retries that each request of a service earns.
-const RETRIES_PER_REQUEST: f64 = 0.2;
 /// Retries that a service may save up.
 const MAX_SAVED_RETRIES: f64 = 50.0;
 
@@ -41,6 +40,7 @@
     pub(crate) directory: Directory,
     pub(crate) claims: ClaimOwner,
     pub(crate) leaving: Leaving,
+    pub(crate) admission: Admission,
     pub(crate) stop: CancellationToken,
     pub(crate) closing: CancellationToken,
     pub(crate) tasks: TaskTracker,
@@ -68,6 +68,7 @@
             directory: Directory::default(),
             claims: ClaimOwner::new(cfg.claims),
             leaving: Leaving::default(),
+            admission: Admission::new(cfg.queue_order),
             closing: stop.child_token(),
             tasks: TaskTracker::new(),
             members: RwLock::default(),
@@ -202,7 +203,7 @@
         let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
         let budget = budgets
             .entry(service.to_owned())
-            .or_insert_with(|| RetryBudget::new(RETRIES_PER_REQUEST, MAX_SAVED_RETRIES));
+            .or_insert_with(|| RetryBudget::new(self.cfg.retries_per_request, MAX_SAVED_RETRIES));
         f(budget)
     }
 }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -317,28 +317,19 @@
     let mut refusals = Vec::new();
     let key = [("idempotency-key", "k")];
     let too_large = "x".repeat((4 << 20) + 1);
-    let cases: [(&str, &[(&str, &str)], &str, &str); 6] = [
-        ("no such path", &[], "/nowhere", "{}"),
-        ("malformed body", &[], completions, "{\"model\": 3}"),
-        ("malformed body of a retry", &key, completions, "{}"),
-        (
-            "no such model",
-            &[],
-            completions,
-            "{\"model\": \"x\", \"prompt\": \"\"}",
-        ),
-        (
-            "bad position",
-            &[("last-event-id", "x")],
-            completions,
-            "{\"model\": \"captions\", \"prompt\": \"\"}",
-        ),
-        ("body too large", &[], completions, &too_large),
-    ];
-    for (name, headers, path, body) in cases {
+    let position = [("last-event-id", "x")];
+    let unknown_model = "{\"model\": \"x\", \"prompt\": \"\"}";
+    let known_model = "{\"model\": \"captions\", \"prompt\": \"\"}";
+    let post = async |name: &str, headers: &[(&str, &str)], path: &str, body: &str| {
         let res = call(router, Method::POST, path, headers, body).await;
-        refusals.push(render(name, &res));
-    }
+        render(name, &res)
+    };
+    refusals.push(post("no such path", &[], "/nowhere", "{}").await);
+    refusals.push(post("malformed body", &[], completions, "{\"model\": 3}").await);
+    refusals.push(post("malformed body of a retry", &key, completions, "{}").await);
+    refusals.push(post("no such model", &[], completions, unknown_model).await);
+    refusals.push(post("bad position", &position, completions, known_model).await);
+    refusals.push(post("body too large", &[], completions, &too_large).await);
     let stranger = Caller::new("nobody");
     let res = stranger
         .send(router, Method::POST, completions, &[], "{}", TIMEOUT)
