--- a/crates/cactusbarrow_policy/src/choose.rs
+++ b/crates/cactusbarrow_policy/src/choose.rs
@@ -7,9 +7,21 @@
 
 use crate::hash::{rendezvous_weight, stable_hash};
 
+/// How a backend server is chosen.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ChooseStrategy {
+    /// By prompt prefix while the load allows, else the least loaded of two.
+    #[default]
+    Affinity,
+    /// In turn, whatever the load; a baseline for measurements.
+    RoundRobin,
+}
+
 /// Tuning of the choice.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ChooseConfig {
+    /// How a backend server is chosen.
+    pub strategy: ChooseStrategy,
     /// Largest load, as a multiple of the mean, that prefix affinity may cause.
     pub affinity_bound: f64,
     /// Load added to backend servers of other zones, as a share of their limit.
@@ -25,6 +37,7 @@
 impl Default for ChooseConfig {
     fn default() -> Self {
         Self {
+            strategy: ChooseStrategy::Affinity,
             affinity_bound: 1.25,
             other_zone_penalty: 0.10,
             prefix_bytes: 256,
@@ -98,6 +111,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct LoadTable {
     entries: HashMap<String, Entry>,
+    next_in_turn: usize,
 }
 
 impl LoadTable {
@@ -156,13 +170,16 @@
     ///
     /// Returns the index of the candidate; `None` if none can take the request.
     pub fn choose(
-        &self,
+        &mut self,
         cfg: &ChooseConfig,
         candidates: &[Candidate<'_>],
         prompt: Option<&[u8]>,
         now: Instant,
         rng: &mut impl Rng,
     ) -> Option<usize> {
+        if cfg.strategy == ChooseStrategy::RoundRobin {
+            return self.choose_in_turn(candidates);
+        }
         let costs: Vec<Option<f64>> = candidates
             .iter()
             .map(|candidate| self.cost(cfg, candidate, now))
@@ -191,6 +208,16 @@
         })
     }
 
+    fn choose_in_turn(&mut self, candidates: &[Candidate<'_>]) -> Option<usize> {
+        let is_usable = |i: &usize| {
+            let entry = self.entries.get(candidates[*i].name);
+            entry.is_none_or(Entry::is_usable)
+        };
+        let usable: Vec<usize> = (0..candidates.len()).filter(is_usable).collect();
+        self.next_in_turn = self.next_in_turn.wrapping_add(1);
+        usable.get(self.next_in_turn % usable.len().max(1)).copied()
+    }
+
     /// Returns the cost of one more request, as a share of the limit; `None` if it has no room.
     fn cost(&self, cfg: &ChooseConfig, candidate: &Candidate<'_>, now: Instant) -> Option<f64> {
         let unknown = Entry::default();
--- a/crates/cactusbarrow_standins/src/cluster.rs
+++ b/crates/cactusbarrow_standins/src/cluster.rs
@@ -24,6 +24,7 @@
 const MAX_BIND_TRIES: usize = 100;
 const BIND_WAIT: Duration = Duration::from_millis(50);
 const LOOPBACK: [u8; 4] = [127, 0, 0, 1];
+const SERVICE_SLOTS: u32 = 64;
 const MODEL: &str = "captions";
 const VERSION: &str = "captions-v1";
 const ENGINE_SERVICE: &str = "captions";
@@ -53,10 +54,12 @@
     pub engine: EngineConfig,
     /// Time that a call of a plain service takes.
     pub service_delay: Duration,
-    /// Changes to the settings of each router.
-    pub tune_router: fn(&mut RouterConfig),
-    /// Changes to the settings of each agent.
-    pub tune_agent: fn(&mut AgentConfig),
+    /// Makes the settings of engine number `i` from those of all.
+    pub engine_of: fn(usize, &EngineConfig) -> EngineConfig,
+    /// Settings of each router; name, zone and addresses are set by the cluster.
+    pub router: RouterConfig,
+    /// Settings of each agent; name, addresses and kind are set by the cluster.
+    pub agent: AgentConfig,
 }
 
 impl Default for ClusterConfig {
@@ -70,8 +73,13 @@
             favor: Preference::Latency,
             engine: EngineConfig::new(VERSION),
             service_delay: Duration::from_millis(5),
-            tune_router: |_| {},
-            tune_agent: |_| {},
+            engine_of: |_, cfg| cfg.clone(),
+            router: RouterConfig {
+                polls_per_second: 20.0,
+                gossip_interval: Duration::from_millis(300),
+                ..RouterConfig::new("", "", any_addr(), any_addr())
+            },
+            agent: AgentConfig::new("", any_addr(), any_addr(), any_addr(), BackendKind::Engine),
         }
     }
 }
@@ -126,7 +134,7 @@
 impl Cluster {
     /// Starts a cluster and waits until its configuration is in force.
     pub async fn start(cfg: ClusterConfig) -> Self {
-        let store = ConsulServer::start(SocketAddr::from((LOOPBACK, 0))).await;
+        let store = ConsulServer::start(any_addr()).await;
         let mut cluster = Self {
             cfg,
             store,
@@ -177,24 +185,23 @@
 
     /// Starts engine number `i` with its agent, at free addresses.
     pub async fn start_engine(&self, i: usize) -> Site<Engine> {
-        let backend =
-            Engine::start(self.cfg.engine.clone(), self.ledger.clone(), i as u64 + 1).await;
+        let engine = (self.cfg.engine_of)(i, &self.cfg.engine);
+        let slots = engine.slots as u32;
+        let backend = Engine::start(engine, self.ledger.clone(), i as u64 + 1).await;
         let name = format!("engine-{i}");
         let addr = backend.addr;
-        self.start_site(i, name, backend, addr, BackendKind::Engine)
-            .await
+        self.start_site(i, name, backend, addr, Some(slots)).await
     }
 
     /// Starts router number `i`; `control` fixes its control address.
     pub async fn start_router(&self, i: usize, control: Option<SocketAddr>) -> RouterProcess {
-        let any = SocketAddr::from((LOOPBACK, 0));
-        let zone = self.zone(i);
-        let mut cfg = RouterConfig::new(&format!("router-{i}"), &zone, any, any);
-        cfg.control = control.unwrap_or(any);
-        cfg.polls_per_second = 20.0;
-        cfg.gossip_interval = Duration::from_millis(300);
-        cfg.seeds = self.routers.iter().map(RouterProcess::peer).collect();
-        (self.cfg.tune_router)(&mut cfg);
+        let cfg = RouterConfig {
+            name: format!("router-{i}"),
+            zone: self.zone(i),
+            control: control.unwrap_or(any_addr()),
+            seeds: self.routers.iter().map(RouterProcess::peer).collect(),
+            ..self.cfg.router.clone()
+        };
         self.start_router_with(cfg).await
     }
 
@@ -221,18 +228,14 @@
 
     /// Starts the agent of a site anew, at its old addresses.
     pub async fn restart_agent(&self, object: &BackendServer, backend: SocketAddr) -> Host {
-        let kind = match object.model_version {
-            Some(_) => BackendKind::Engine,
-            None => BackendKind::Service,
-        };
-        let mut cfg = AgentConfig::new(
-            &object.name,
-            object.agent_address,
-            object.control_address,
+        let cfg = AgentConfig {
+            name: object.name.clone(),
+            listen: object.agent_address,
+            control: object.control_address,
             backend,
-            kind,
-        );
-        (self.cfg.tune_agent)(&mut cfg);
+            kind: kind_of(object.model_version.is_some()),
+            ..self.cfg.agent.clone()
+        };
         let (host, _) = start_agent(cfg, CancellationToken::new()).await;
         host
     }
@@ -292,14 +295,13 @@
 
     async fn start_service(&self, i: usize) -> Site<PlainService> {
         let cfg = PlainServiceConfig {
-            listen: SocketAddr::from((LOOPBACK, 0)),
+            listen: any_addr(),
             delay: self.cfg.service_delay,
         };
         let backend = PlainService::start(cfg, self.calls.clone()).await;
         let name = format!("service-{i}");
         let addr = backend.addr;
-        self.start_site(i, name, backend, addr, BackendKind::Service)
-            .await
+        self.start_site(i, name, backend, addr, None).await
     }
 
     async fn start_site<T>(
@@ -308,15 +310,18 @@
         name: String,
         backend: T,
         addr: SocketAddr,
-        kind: BackendKind,
+        engine_slots: Option<u32>,
     ) -> Site<T> {
-        let any = SocketAddr::from((LOOPBACK, 0));
-        let mut cfg = AgentConfig::new(&name, any, any, addr, kind);
-        (self.cfg.tune_agent)(&mut cfg);
+        let is_engine = engine_slots.is_some();
+        let cfg = AgentConfig {
+            name: name.clone(),
+            backend: addr,
+            kind: kind_of(is_engine),
+            ..self.cfg.agent.clone()
+        };
         let shutdown = CancellationToken::new();
         let (agent, handle) = start_agent(cfg, shutdown.clone()).await;
         let (listen, control) = (handle.listen, handle.control);
-        let is_engine = kind == BackendKind::Engine;
         let object = BackendServer {
             name: name.clone(),
             service: if is_engine {
@@ -329,7 +334,7 @@
             agent_address: listen,
             control_address: control,
             model_version: is_engine.then(|| VERSION.to_owned()),
-            max_in_flight: 64,
+            max_in_flight: engine_slots.unwrap_or(SERVICE_SLOTS),
             checks_fencing: self.cfg.engine.checks_fencing,
             draining: false,
         };
@@ -374,6 +379,18 @@
     panic!("agent {} cannot start at its addresses", cfg.name);
 }
 
+fn any_addr() -> SocketAddr {
+    SocketAddr::from((LOOPBACK, 0))
+}
+
+fn kind_of(is_engine: bool) -> BackendKind {
+    if is_engine {
+        BackendKind::Engine
+    } else {
+        BackendKind::Service
+    }
+}
+
 fn model_version() -> ModelVersion {
     ModelVersion {
         name: VERSION.to_owned(),
--- a/crates/cactusbarrow_standins/src/engine.rs
+++ b/crates/cactusbarrow_standins/src/engine.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use cactusbarrow_net::{Body, BodySender, ServeConfig, collect_limited, serve};
-use cactusbarrow_policy::stable_hash;
+use cactusbarrow_policy::{mix, stable_hash};
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
@@ -23,6 +23,8 @@
 /// Length of the prompt that the prefix cache looks at, in bytes.
 const CACHED_PREFIX_BYTES: usize = 256;
 
+const PROMPT_BYTES_PER_TOKEN: usize = 4;
+
 /// Settings of a stand-in engine.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EngineConfig {
@@ -40,6 +42,10 @@
     pub cache_entries: usize,
     /// Requests that run at once; others wait.
     pub slots: usize,
+    /// Tokens after which a stream stalls once, at random; 0 for never.
+    pub stall_every: u32,
+    /// Longest such stall.
+    pub max_stall: Duration,
     /// Whether it refuses orders with an old fencing number.
     pub checks_fencing: bool,
     /// Time that an order to load a version takes.
@@ -57,12 +63,24 @@
             cached_prefill: Duration::from_millis(15),
             cache_entries: 16,
             slots: 64,
+            stall_every: 0,
+            max_stall: Duration::ZERO,
             checks_fencing: true,
             load_time: Duration::from_millis(200),
         }
     }
 }
 
+impl EngineConfig {
+    /// Returns the stall before a token, which depends on the run and the offset alone.
+    fn stall_at(&self, salt: u64, offset: u32) -> Option<Duration> {
+        let random = mix(salt ^ (u64::from(offset) << 32));
+        let is_due = self.stall_every > 0 && random.is_multiple_of(u64::from(self.stall_every));
+        let share = mix(random) as f64 / u64::MAX as f64;
+        is_due.then(|| self.max_stall.mul_f64(share))
+    }
+}
+
 /// Counts of a stand-in engine.
 #[derive(Debug, Default)]
 pub struct EngineStats {
@@ -72,6 +90,8 @@
     pub running: AtomicUsize,
     /// Requests whose prompt was cached.
     pub cache_hits: AtomicUsize,
+    /// Tokens of prompts and prefixes that were computed, not found in the cache.
+    pub prefilled: AtomicUsize,
     /// Orders obeyed.
     pub loads: AtomicUsize,
     last_start: Mutex<Option<Instant>>,
@@ -295,6 +315,13 @@
     if is_cached {
         state.stats.cache_hits.fetch_add(1, Ordering::Relaxed);
     }
+    let computed = if is_cached {
+        0
+    } else {
+        req.prompt.len() / PROMPT_BYTES_PER_TOKEN
+    };
+    let computed = computed + req.resume_token_ids.len();
+    state.stats.prefilled.fetch_add(computed, Ordering::Relaxed);
     tokio::time::sleep(if is_cached {
         state.cfg.cached_prefill
     } else {
@@ -310,6 +337,10 @@
     let mut ticks = tokio::time::interval(state.cfg.token_interval);
     for offset in first..req.max_tokens {
         ticks.tick().await;
+        if let Some(stall) = state.cfg.stall_at(salt, offset) {
+            tokio::time::sleep(stall).await;
+            ticks.reset();
+        }
         let token = token_at(offset, salt);
         sequence = Ledger::extend(sequence, token);
         state.ledger.record(sequence);
--- a/crates/cactusbarrow_standins/src/plain_service.rs
+++ b/crates/cactusbarrow_standins/src/plain_service.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -20,6 +21,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct CallLedger {
     runs: Arc<Mutex<HashMap<String, Vec<Instant>>>>,
+    received: Arc<AtomicU64>,
+    is_hanging: Arc<AtomicBool>,
 }
 
 impl CallLedger {
@@ -38,6 +41,16 @@
         self.lock().values().flatten().max().copied()
     }
 
+    /// Returns the number of calls that reached a service, answered or not.
+    pub fn received(&self) -> u64 {
+        self.received.load(Ordering::Relaxed)
+    }
+
+    /// Makes services answer no call, or answer again.
+    pub fn set_hanging(&self, is_hanging: bool) {
+        self.is_hanging.store(is_hanging, Ordering::Relaxed);
+    }
+
     fn record(&self, call: String) {
         self.lock().entry(call).or_default().push(Instant::now());
     }
@@ -97,6 +110,7 @@
     req: Request<Incoming>,
 ) -> Response<Body> {
     let method = req.method().clone();
+    let is_probe = req.uri().path() == "/healthz";
     let body = collect_limited(req.into_body(), MAX_BODY_BYTES, "caller").await;
     let Ok(Some(body)) = body else {
         let mut res = Response::new(Body::Empty);
@@ -104,6 +118,12 @@
         return res;
     };
     let call = String::from_utf8_lossy(&body).into_owned();
+    if !is_probe {
+        ledger.received.fetch_add(1, Ordering::Relaxed);
+        if ledger.is_hanging.load(Ordering::Relaxed) {
+            std::future::pending::<()>().await;
+        }
+    }
     if method != Method::POST {
         return Response::new(Body::full("ok"));
     }
--- /dev/null
+++ b/examples/experiment/control_cost.rs
@@ -0,0 +1,239 @@
+//! What control costs a node: bytes, processor time and memory at several fleet sizes.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use cactusbarrow_document::{BackendServer, Customer, Object, hash_api_key};
+use cactusbarrow_net::SystemClock;
+use cactusbarrow_platform::{CommitRequest, Edit, commit, load_configuration};
+use cactusbarrow_policy::Revision;
+use cactusbarrow_router::RouterConfig;
+use cactusbarrow_standins::{Cluster, ClusterConfig, Host};
+use serde::Serialize;
+use tokio_util::sync::CancellationToken;
+
+use crate::report::{Outcome, rounded};
+
+const TARGET_SERVERS: f64 = 12_000.0;
+const TARGET_CUSTOMERS: f64 = 9_200.0;
+const TARGET_CHANGES_PER_S: f64 = 36_000.0 / 86_400.0;
+/// Backend servers that a router works with at target size; see the experiment `membership`.
+const TARGET_SUBSET: f64 = 160.0;
+const PAGE_BYTES: u64 = 4_096;
+
+/// Cost of polling a subset, while nothing changes.
+#[derive(Serialize)]
+struct PollRow {
+    agents: usize,
+    loopback_bytes_per_s: f64,
+    bytes_per_poll: f64,
+    router_cpu_percent: f64,
+    agent_cpu_percent: f64,
+    process_cpu_percent: f64,
+}
+
+/// Cost of holding a configuration, and of changing it.
+#[derive(Serialize)]
+struct ConfigRow {
+    objects: usize,
+    resident_bytes_per_object: f64,
+    adopt_ms_per_change: f64,
+    bytes_in_store: u64,
+    largest_value: u64,
+}
+
+/// Runs the experiment.
+pub(crate) async fn run(seed: u64, is_short: bool) -> Outcome {
+    let mut outcome = Outcome::new("control_cost", seed);
+    let (sizes, objects): (&[usize], &[usize]) = if is_short {
+        (&[4, 8], &[500, 1_000])
+    } else {
+        (&[10, 20, 40, 80], &[2_000, 5_000, 10_000, 21_200])
+    };
+    let mut polls = Vec::new();
+    for agents in sizes {
+        polls.push(measure_polls(*agents).await);
+    }
+    let mut configs = Vec::new();
+    for count in objects {
+        configs.push(measure_config(*count).await);
+    }
+    extrapolate(&mut outcome, &polls, &configs);
+    outcome.set("polls", polls);
+    outcome.set("configuration", configs);
+    outcome
+}
+
+fn extrapolate(outcome: &mut Outcome, polls: &[PollRow], configs: &[ConfigRow]) {
+    let rate = RouterConfig::new("", "", any_addr(), any_addr()).polls_per_second;
+    let (Some(poll), Some(config)) = (polls.last(), configs.last()) else {
+        return;
+    };
+    outcome.set("polls_per_s_default", rate);
+    outcome.set(
+        "target_poll_bytes_per_s",
+        rounded(poll.bytes_per_poll * rate),
+    );
+    outcome.set("target_seconds_between_polls", TARGET_SUBSET / rate);
+    let objects = TARGET_SERVERS + TARGET_CUSTOMERS;
+    let memory = slope(configs, |c| c.resident_bytes_per_object * c.objects as f64) * objects;
+    outcome.set("target_configuration_mb", rounded(memory / 1e6));
+    let adopt = config.adopt_ms_per_change * TARGET_CHANGES_PER_S / 10.0;
+    outcome.set("target_adopt_cpu_percent", rounded(adopt));
+}
+
+/// Least-squares slope of a figure over the number of objects.
+fn slope(rows: &[ConfigRow], figure: impl Fn(&ConfigRow) -> f64) -> f64 {
+    let n = rows.len() as f64;
+    let mean_x = rows.iter().map(|r| r.objects as f64).sum::<f64>() / n;
+    let mean_y = rows.iter().map(&figure).sum::<f64>() / n;
+    let covariance = |r: &ConfigRow| (r.objects as f64 - mean_x) * (figure(r) - mean_y);
+    let variance = |r: &ConfigRow| (r.objects as f64 - mean_x).powi(2);
+    rows.iter().map(covariance).sum::<f64>() / rows.iter().map(variance).sum::<f64>()
+}
+
+async fn measure_polls(agents: usize) -> PollRow {
+    let mut cfg = ClusterConfig {
+        routers: 1,
+        engines: agents,
+        zones: 1,
+        ..ClusterConfig::default()
+    };
+    // Probes stay on the agent's own host and are not control between nodes.
+    cfg.agent.probe_interval = Duration::from_secs(600);
+    cfg.router.polls_per_second = 10.0;
+    cfg.router.subset.whole_group = 1_000;
+    let cluster = Cluster::start(cfg).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let router_cpu = cluster.routers[0].host.cpu_time();
+    let agents_cpu = || -> Duration { cluster.engines.iter().map(|s| s.agent.cpu_time()).sum() };
+    let (agent_cpu, process, bytes) = (agents_cpu(), process_cpu_time(), loopback_bytes());
+    let started = Instant::now();
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    let seconds = started.elapsed().as_secs_f64();
+    let percent = |time: Duration| rounded(time.as_secs_f64() / seconds * 100.0);
+    let sent = (loopback_bytes() - bytes) as f64 / seconds;
+    PollRow {
+        agents,
+        loopback_bytes_per_s: rounded(sent),
+        bytes_per_poll: rounded(sent / 10.0),
+        router_cpu_percent: percent(cluster.routers[0].host.cpu_time() - router_cpu),
+        agent_cpu_percent: rounded(percent(agents_cpu() - agent_cpu) / agents as f64),
+        process_cpu_percent: percent(process_cpu_time() - process),
+    }
+}
+
+async fn measure_config(objects: usize) -> ConfigRow {
+    let cluster = Cluster::start(ClusterConfig {
+        routers: 0,
+        engines: 1,
+        zones: 1,
+        ..ClusterConfig::default()
+    })
+    .await;
+    let store = cluster.store_client();
+    let template = cluster.engines[0].object.clone();
+    let servers = objects * 12_000 / 21_200;
+    let edits = (0..objects)
+        .map(|i| Edit::Set(object(i, servers, &template)))
+        .collect();
+    let mut revision = cluster.commit("fill", edits).await;
+    let before = resident_bytes();
+    let mut cfg = RouterConfig::new("router-0", "zone-0", any_addr(), any_addr());
+    // At target size a router works with a subset; polls of servers that do not exist are left out.
+    cfg.polls_per_second = 0.01;
+    cfg.subset.whole_group = 0;
+    cfg.subset.group_minimum = 0;
+    cfg.seeds = (0..90)
+        .map(|i| cactusbarrow_router::Peer {
+            name: format!("peer-{i}"),
+            zone: "zone-0".to_owned(),
+            control: SocketAddr::from(([127, 0, 0, 1], 9)),
+        })
+        .collect();
+    cfg.watchers_per_zone = 1_000;
+    cfg.gossip_interval = Duration::from_secs(600);
+    let router_store = store.clone();
+    let (host, handle) = Host::start(async move {
+        cactusbarrow_router::start(cfg, router_store, SystemClock, CancellationToken::new()).await
+    })
+    .await;
+    let mut handle = handle.expect("the router starts");
+    handle.wait_for_revision(revision).await;
+    let resident = resident_bytes().saturating_sub(before);
+    let cpu = host.cpu_time();
+    const CHANGES: u32 = 20;
+    for i in 0..CHANGES {
+        let base = load_configuration(&store).await.expect("the store answers");
+        let mut changed = template.clone();
+        changed.max_in_flight = 1_000 + i;
+        let req = CommitRequest {
+            operation: format!("change-{i}"),
+            base: base.root.revision(),
+            edits: vec![Edit::Set(Object::BackendServer(changed))],
+        };
+        revision = commit(&store, &req).await.expect("accepted").revision;
+        handle.wait_for_revision(Revision(revision.0)).await;
+    }
+    let adopt = (host.cpu_time() - cpu).as_secs_f64() * 1e3 / f64::from(CHANGES);
+    let counts = &cluster.store.counts;
+    ConfigRow {
+        objects,
+        resident_bytes_per_object: rounded(resident as f64 / objects as f64),
+        adopt_ms_per_change: rounded(adopt),
+        bytes_in_store: stored_bytes(&store).await,
+        largest_value: counts
+            .largest_value
+            .load(std::sync::atomic::Ordering::Relaxed),
+    }
+}
+
+async fn stored_bytes(store: &cactusbarrow_platform::ConsulStore) -> u64 {
+    let configuration = load_configuration(store).await.expect("the store answers");
+    let shards = configuration.shards.values();
+    shards.map(|shard| shard.encode().len() as u64).sum()
+}
+
+fn object(i: usize, servers: usize, template: &BackendServer) -> Object {
+    if i < servers {
+        return Object::BackendServer(BackendServer {
+            name: format!("filler-engine-{i}"),
+            zone: format!("zone-{}", i % 8),
+            ..template.clone()
+        });
+    }
+    Object::Customer(Customer {
+        name: format!("filler-customer-{i}"),
+        key_sha256: hash_api_key(&format!("filler {i}")),
+        max_in_flight: 100,
+        tokens_per_second: 10_000,
+        services: Vec::new(),
+    })
+}
+
+fn any_addr() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// Bytes that crossed the loopback interface, headers included.
+fn loopback_bytes() -> u64 {
+    let text = std::fs::read_to_string("/proc/net/dev").unwrap_or_default();
+    text.lines()
+        .find_map(|line| line.trim().strip_prefix("lo:"))
+        .and_then(|rest| rest.split_whitespace().next()?.parse().ok())
+        .unwrap_or(0)
+}
+
+fn process_cpu_time() -> Duration {
+    let tasks = std::fs::read_dir("/proc/self/task").into_iter().flatten();
+    tasks
+        .flatten()
+        .map(|task| cactusbarrow_standins::thread_cpu_time(&task.file_name().to_string_lossy()))
+        .sum()
+}
+
+fn resident_bytes() -> u64 {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split(' ').nth(1).and_then(|n| n.parse::<u64>().ok());
+    pages.unwrap_or(0) * PAGE_BYTES
+}
--- a/examples/experiment/drain.rs
+++ b/examples/experiment/drain.rs
@@ -21,17 +21,15 @@
 
 /// Runs the experiment.
 pub(crate) async fn run(seed: u64, is_short: bool) -> Outcome {
-    let mut cluster = Cluster::start(ClusterConfig {
+    let mut cfg = ClusterConfig {
         routers: 3,
         engines: 12,
         zones: 4,
-        tune_agent: |cfg| {
-            cfg.move_after = Duration::from_secs(2);
-            cfg.grace = Duration::from_secs(12);
-        },
         ..ClusterConfig::default()
-    })
-    .await;
+    };
+    cfg.agent.move_after = Duration::from_secs(2);
+    cfg.agent.grace = Duration::from_secs(12);
+    let mut cluster = Cluster::start(cfg).await;
     let load = Load {
         generations: if is_short { 100 } else { 1_600 },
         spacing: Duration::from_millis(12),
--- a/examples/experiment/failover.rs
+++ b/examples/experiment/failover.rs
@@ -57,6 +57,15 @@
     outcome.bound("resume_killed_p99", killed.p99, RESUME_BOUND_MS);
     outcome.bound("resume_frozen_p99", frozen.p99, RESUME_BOUND_MS);
     workload::add_extra_work(&mut outcome, &finished, &cluster.ledger);
+    let prefilled: usize = cluster
+        .engines
+        .iter()
+        .map(|site| site.backend.stats.prefilled.load(Ordering::Relaxed))
+        .sum();
+    let prompts: usize = finished.iter().map(|f| f.prompt.len() / 4).sum();
+    let delivered: usize = finished.iter().map(|f| f.transcript.tokens.len()).sum();
+    let again = prefilled.saturating_sub(prompts) as f64 / delivered.max(1) as f64;
+    outcome.set("extra_prefill_tokens_ratio", crate::report::rounded(again));
     outcome.set(
         "extra_memory_bytes_per_generation",
         held_bytes(&finished) / finished.len().max(1),
--- a/examples/experiment/main.rs
+++ b/examples/experiment/main.rs
@@ -5,13 +5,20 @@
 
 mod at_most_once;
 mod config;
+mod control_cost;
 mod drain;
 mod failover;
+mod fairness;
 mod flags;
+mod membership;
 mod overhead;
 mod report;
+mod retry_storm;
 mod router_loss;
+mod routing;
+mod suspicion;
 mod workload;
+mod zone_loss;
 
 use std::process::ExitCode;
 
@@ -43,6 +50,13 @@
             "drain" => drain::run(seed, is_short).await,
             "config" => config::run(seed, is_short).await,
             "overhead" => overhead::run(seed, is_short).await,
+            "routing" => routing::run(seed, is_short).await,
+            "suspicion" => suspicion::run(seed, is_short).await,
+            "zone_loss" => zone_loss::run(seed, is_short).await,
+            "fairness" => fairness::run(seed, is_short).await,
+            "retry_storm" => retry_storm::run(seed, is_short).await,
+            "membership" => membership::run(seed, is_short).await,
+            "control_cost" => control_cost::run(seed, is_short).await,
             _ => return None,
         })
     });
--- a/examples/experiment/workload.rs
+++ b/examples/experiment/workload.rs
@@ -84,6 +84,17 @@
     running.join_all().await
 }
 
+/// Runs one generation for a caller that does not ask again once it is refused.
+pub(crate) async fn generate_once(
+    caller: Caller,
+    routers: Routers,
+    prompt: String,
+    seed: u64,
+    wanted: usize,
+) -> Finished {
+    run_generation(caller, routers, prompt, seed, wanted, 1).await
+}
+
 /// Runs one generation; comes back for the rest whenever the connection breaks.
 pub(crate) async fn generate(
     caller: Caller,
@@ -91,6 +102,17 @@
     prompt: String,
     seed: u64,
     wanted: usize,
+) -> Finished {
+    run_generation(caller, routers, prompt, seed, wanted, usize::MAX).await
+}
+
+async fn run_generation(
+    caller: Caller,
+    routers: Routers,
+    prompt: String,
+    seed: u64,
+    wanted: usize,
+    max_refusals: usize,
 ) -> Finished {
     let started = Instant::now();
     let body = Cluster::completion_body(&prompt, seed, wanted);
@@ -132,7 +154,7 @@
             StreamEnd::Refused(answer) => {
                 let is_final = answer.contains("\"failed\"");
                 finished.refusals.push(answer);
-                if is_final {
+                if is_final || finished.refusals.len() >= max_refusals {
                     break;
                 }
             }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -17,18 +17,16 @@
 const PROMPT: &str = "a deposition";
 
 async fn small_cluster() -> Cluster {
-    Cluster::start(ClusterConfig {
+    let mut cfg = ClusterConfig {
         routers: 2,
         engines: 3,
         services: 2,
         customers: 2,
-        tune_agent: |cfg| {
-            cfg.move_after = Duration::from_millis(300);
-            cfg.grace = Duration::from_secs(20);
-        },
         ..ClusterConfig::default()
-    })
-    .await
+    };
+    cfg.agent.move_after = Duration::from_millis(300);
+    cfg.agent.grace = Duration::from_secs(20);
+    Cluster::start(cfg).await
 }
 
 fn caller() -> Caller {
