Select a router's subset anew only when servers come, go or change group

Cause of 18.3 ms a change at a router that learns (21,200 objects): each change of any backend server selected the subset among 12,000 anew, 8.4 ms, twice as much with its polls. Ruled out by timing: adoption itself, 0.1 ms.

Now a change of a server that stays in its group refreshes the 130 members in place.

--- a/crates/cactusbarrow_document/src/fleet.rs
+++ b/crates/cactusbarrow_document/src/fleet.rs
@@ -37,6 +37,7 @@
     backend_servers: SharedMap<StoredServer>,
     customers_by_key: SharedMap<Customer>,
     backend_changed: Revision,
+    groups_changed: Revision,
 }
 
 impl Fleet {
@@ -63,12 +64,18 @@
             message,
         };
         let parsed_key: ObjectKey = key.parse().map_err(|e| error(format!("{e}")))?;
+        let old = self.backend_server(&parsed_key.name).cloned();
         self.remove(&parsed_key, revision);
-        let Some(value) = value else {
-            return Ok(());
-        };
-        let object = Object::from_json(value).map_err(|e| error(e.to_string()))?;
-        self.insert(object, revision);
+        if let Some(value) = value {
+            let object = Object::from_json(value).map_err(|e| error(e.to_string()))?;
+            self.insert(object, revision);
+        }
+        let new = self.backend_server(&parsed_key.name);
+        let group =
+            |server: &Arc<BackendServer>| (server.service.clone(), server.model_version.clone());
+        if parsed_key.kind == Kind::BackendServer && old.as_ref().map(group) != new.map(group) {
+            self.groups_changed = self.groups_changed.max(revision);
+        }
         Ok(())
     }
 
@@ -87,6 +94,14 @@
         self.backend_changed
     }
 
+    /// Returns the revision that last added, removed or regrouped a backend server.
+    ///
+    /// Servers are grouped by service and model version; only such a change makes routers
+    /// select their subsets anew.
+    pub fn groups_changed(&self) -> Revision {
+        self.groups_changed
+    }
+
     /// Returns a service by name.
     pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
         self.services.get(name)
--- a/crates/cactusbarrow_router/src/members.rs
+++ b/crates/cactusbarrow_router/src/members.rs
@@ -83,6 +83,33 @@
         }
     }
 
+    /// Takes what a newer configuration says of the same subset.
+    pub(crate) fn refreshed(&self, fleet: &Fleet) -> Self {
+        let refresh = |member: &Arc<MemberServer>| {
+            let server = fleet.backend_server(member.name())?;
+            if Arc::ptr_eq(server, &member.server) {
+                return Some(member.clone());
+            }
+            Some(Arc::new(MemberServer {
+                server: server.clone(),
+                revision: fleet.backend_revision(member.name())?,
+                is_same_zone: member.is_same_zone,
+            }))
+        };
+        let by_service = self
+            .by_service
+            .iter()
+            .map(|(service, members)| {
+                let members = members.iter().filter_map(refresh).collect();
+                (service.clone(), members)
+            })
+            .collect();
+        Self {
+            version_servers: self.version_servers.clone(),
+            by_service,
+        }
+    }
+
     /// Returns the number of backend servers of the whole fleet that run a model version.
     pub(crate) fn version_servers(&self, version: &str) -> u32 {
         self.version_servers.get(version).copied().unwrap_or(0)
--- a/crates/cactusbarrow_router/src/poll.rs
+++ b/crates/cactusbarrow_router/src/poll.rs
@@ -27,6 +27,7 @@
     let mut told: HashMap<String, Revision> = HashMap::new();
     let interval = Duration::from_secs_f64(1.0 / router.cfg.polls_per_second);
     let mut next = 0;
+    let mut seen = Revision(0);
     let mut selected = Revision(0);
     loop {
         tokio::select! {
@@ -36,12 +37,17 @@
                     return;
                 }
                 tokio::time::sleep(SETTLE).await;
-                let changed = adopted.borrow_and_update().backend_changed();
-                if changed == selected {
+                let fleet = adopted.borrow_and_update().clone();
+                if fleet.backend_changed() == seen {
                     continue;
                 }
-                selected = changed;
-                router.select_members();
+                seen = fleet.backend_changed();
+                if fleet.groups_changed() == selected {
+                    router.refresh_members();
+                } else {
+                    selected = fleet.groups_changed();
+                    router.select_members();
+                }
                 let members = router.members();
                 told.retain(|name, _| members.all().any(|m| m.name() == name));
                 for member in members.all() {
--- a/crates/cactusbarrow_router/src/router.rs
+++ b/crates/cactusbarrow_router/src/router.rs
@@ -103,6 +103,12 @@
         *self.members.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(members);
     }
 
+    /// Takes what the configuration in force says of the same subset.
+    pub(crate) fn refresh_members(&self) {
+        let refreshed = self.members().refreshed(&self.config.fleet());
+        *self.members.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(refreshed);
+    }
+
     /// Chooses a backend server for a request of a service.
     ///
     /// `version` limits the choice to one model version; `excluded` names servers that refused.
--- a/examples/demo.rs
+++ b/examples/demo.rs
@@ -81,10 +81,7 @@
         }
         for token in &transcript.tokens[shown..arrival.tokens] {
             let bytes = cactusbarrow_standins::token_bytes(*token);
-            print!(
-                "{}",
-                String::from_utf8_lossy(&bytes).replace('\u{fffd}', "")
-            );
+            print!("{}", text.push(&bytes));
         }
         shown = arrival.tokens;
     }
