Keep freed places for resumed generations at the gate

Ruled out: the router's queue, which orders only its own requests.

Now a gate that refuses a resumed generation for lack of room keeps the next places for such for 300 ms, and routers send them to the least loaded server even if it seems full.

Routers ask the platform for routers and for leaving hosts apart, the first the more seldom the larger the fleet: a whole list of 12,720 hosts each 30 s would have cost 50 KB/s. The config experiment also watches agents.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -4,10 +4,10 @@
 use std::time::{Duration, Instant};
 
 use cactusbarrow_policy::{
-    Adoption, BackendLoad, Candidate, Change, ChooseConfig, ClaimAction, ClaimConfig, ClaimEvent,
-    ClaimNonce, ClaimPage, ClaimRequest, ClaimShard, Delta, Digest, Event, Favor, Gate, GateConfig,
-    Generation, GenerationConfig, KeyHash, LoadTable, Member, Revision, SubsetConfig, TokenBuffer,
-    Work, select_subset,
+    Adoption, BackendLoad, Candidate, Change, ChooseConfig, ChooseRequest, ClaimAction,
+    ClaimConfig, ClaimEvent, ClaimNonce, ClaimPage, ClaimRequest, ClaimShard, Delta, Digest, Event,
+    Favor, Gate, GateConfig, Generation, GenerationConfig, KeyHash, LoadTable, Member, Revision,
+    SubsetConfig, TokenBuffer, Work, select_subset,
 };
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use rand::SeedableRng;
@@ -42,7 +42,11 @@
         let now = Instant::now();
         group.bench_function(BenchmarkId::from_parameter(count), |b| {
             let cfg = ChooseConfig::default();
-            b.iter(|| table.choose(&cfg, &candidates, Some(b"a prompt"), now, &mut rng));
+            let req = ChooseRequest {
+                prompt: Some(b"a prompt"),
+                is_resume: false,
+            };
+            b.iter(|| table.choose(&cfg, &candidates, req, now, &mut rng));
         });
     }
     group.finish();
--- a/crates/cactusbarrow_agent/src/generate.rs
+++ b/crates/cactusbarrow_agent/src/generate.rs
@@ -37,6 +37,7 @@
         generation: id,
         attempt: AttemptNumber(req.attempt),
         version: &req.version,
+        is_resume: !prefix.is_empty(),
     };
     let permit = match agent.admit(&work) {
         Ok(permit) => permit,
--- a/crates/cactusbarrow_platform/src/consul.rs
+++ b/crates/cactusbarrow_platform/src/consul.rs
@@ -20,6 +20,10 @@
 /// Time that an answer to a watch may take beyond the wait asked for.
 const WATCH_MARGIN: Duration = Duration::from_secs(5);
 const MAX_ANSWER_BYTES: usize = 16 << 20;
+/// Filter for nodes that run a router: `Meta["cactusbarrow-role"] == "router"`, encoded.
+const ROUTERS_FILTER: &str = "Meta%5B%22cactusbarrow-role%22%5D%20%3D%3D%20%22router%22";
+/// Filter for nodes that are leaving: `Meta.state == "leaving"`, encoded.
+const LEAVING_FILTER: &str = "Meta.state%20%3D%3D%20%22leaving%22";
 const INDEX_HEADER: &str = "x-consul-index";
 
 /// Client of a Consul agent or server.
@@ -119,6 +123,26 @@
         }
     }
 
+    async fn nodes(
+        &self,
+        step: &'static str,
+        path: &str,
+        timeout: Duration,
+    ) -> Result<(u64, Vec<Host>), StoreError> {
+        const KEY: &str = "nodes";
+        let res = self
+            .call(step, Method::GET, KEY, path, Body::Empty, timeout)
+            .await?;
+        let index = res
+            .headers()
+            .get(INDEX_HEADER)
+            .and_then(|value| value.to_str().ok()?.parse().ok())
+            .unwrap_or(0);
+        let nodes = serde_json::from_slice(res.body())
+            .map_err(|e| self.error(step, KEY, &e.to_string()))?;
+        Ok((index, crate::host_list::hosts_from_nodes(nodes)))
+    }
+
     fn error(&self, step: &'static str, key: &str, message: &str) -> StoreError {
         StoreError {
             step,
@@ -167,23 +191,17 @@
 }
 
 impl HostList for ConsulStore {
-    async fn hosts(&self, after: u64, wait: Duration) -> Result<(u64, Vec<Host>), StoreError> {
-        const STEP: &str = "list hosts";
-        let path = format!(
-            "/v1/catalog/nodes?index={after}&wait={}ms",
-            wait.as_millis()
-        );
-        let timeout = wait + WATCH_MARGIN;
-        let res = self
-            .call(STEP, Method::GET, "nodes", &path, Body::Empty, timeout)
-            .await?;
-        let index = res
-            .headers()
-            .get(INDEX_HEADER)
-            .and_then(|value| value.to_str().ok()?.parse().ok())
-            .unwrap_or(0);
-        let nodes = serde_json::from_slice(res.body())
-            .map_err(|e| self.error(STEP, "nodes", &e.to_string()))?;
-        Ok((index, crate::host_list::hosts_from_nodes(nodes)))
+    async fn routers(&self) -> Result<Vec<Host>, StoreError> {
+        let path = format!("/v1/catalog/nodes?filter={ROUTERS_FILTER}");
+        let (_, hosts) = self.nodes("list routers", &path, CALL_TIMEOUT).await?;
+        Ok(hosts)
+    }
+
+    async fn leaving(&self, after: u64, wait: Duration) -> Result<(u64, Vec<Host>), StoreError> {
+        let wait_ms = wait.as_millis();
+        let path =
+            format!("/v1/catalog/nodes?index={after}&wait={wait_ms}ms&filter={LEAVING_FILTER}");
+        self.nodes("list leaving hosts", &path, wait + WATCH_MARGIN)
+            .await
     }
 }
--- a/crates/cactusbarrow_platform/src/host_list.rs
+++ b/crates/cactusbarrow_platform/src/host_list.rs
@@ -43,9 +43,16 @@
 }
 
 /// Access to the platform's list of hosts.
+///
+/// The two questions are apart because their answers differ in size: the routers of a large
+/// fleet are many and are asked for seldom, the hosts that leave are few and are watched.
 pub trait HostList: Clone + Send + Sync + 'static {
-    /// Lists the hosts once the list's index differs from `after`, or when `wait` is over.
-    fn hosts(
+    /// Lists the routers.
+    fn routers(&self) -> impl Future<Output = Result<Vec<Host>, StoreError>> + Send;
+
+    /// Lists the hosts that are leaving, once the list's index differs from `after` or when
+    /// `wait` is over.
+    fn leaving(
         &self,
         after: u64,
         wait: Duration,
--- a/crates/cactusbarrow_policy/src/choose.rs
+++ b/crates/cactusbarrow_policy/src/choose.rs
@@ -17,6 +17,16 @@
     RoundRobin,
 }
 
+/// What a backend server is chosen for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ChooseRequest<'a> {
+    /// The prompt, for affinity.
+    pub prompt: Option<&'a [u8]>,
+    /// Whether a generation is resumed: it goes to the least loaded even if that seems full,
+    /// since the gate prefers it to new work.
+    pub is_resume: bool,
+}
+
 /// Tuning of the choice.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ChooseConfig {
@@ -173,7 +183,7 @@
         &mut self,
         cfg: &ChooseConfig,
         candidates: &[Candidate<'_>],
-        prompt: Option<&[u8]>,
+        req: ChooseRequest<'_>,
         now: Instant,
         rng: &mut impl Rng,
     ) -> Option<usize> {
@@ -182,7 +192,7 @@
         }
         let costs: Vec<Option<f64>> = candidates
             .iter()
-            .map(|candidate| self.cost(cfg, candidate, now))
+            .map(|candidate| self.cost(cfg, candidate, req.is_resume, now))
             .collect();
         let usable: Vec<usize> = (0..costs.len()).filter(|i| costs[*i].is_some()).collect();
         if usable.is_empty() {
@@ -190,7 +200,7 @@
         }
         let cost = |i: usize| costs[i].unwrap_or(f64::INFINITY);
         let mean = usable.iter().map(|i| cost(*i)).sum::<f64>() / usable.len() as f64;
-        if let Some(prompt) = prompt {
+        if let Some(prompt) = req.prompt {
             let key = stable_hash(&prompt[..prompt.len().min(cfg.prefix_bytes)]);
             let weight =
                 |i: &usize| rendezvous_weight(key, stable_hash(candidates[*i].name.as_bytes()));
@@ -219,12 +229,19 @@
     }
 
     /// Returns the cost of one more request, as a share of the limit; `None` if it has no room.
-    fn cost(&self, cfg: &ChooseConfig, candidate: &Candidate<'_>, now: Instant) -> Option<f64> {
+    fn cost(
+        &self,
+        cfg: &ChooseConfig,
+        candidate: &Candidate<'_>,
+        is_resume: bool,
+        now: Instant,
+    ) -> Option<f64> {
         let unknown = Entry::default();
         let entry = self.entries.get(candidate.name).unwrap_or(&unknown);
         let room = candidate.limit as f64 * entry.trust(cfg, now);
         let wanted = (entry.in_flight() + 1) as f64;
-        if !entry.is_usable() || wanted > room.ceil() {
+        let has_room = wanted <= room.ceil() || (is_resume && room > 0.0);
+        if !entry.is_usable() || !has_room {
             return None;
         }
         let penalty = if candidate.is_same_zone {
--- a/crates/cactusbarrow_policy/src/gate.rs
+++ b/crates/cactusbarrow_policy/src/gate.rs
@@ -13,6 +13,8 @@
     pub claim_memory: Duration,
     /// Longest time the attempts of a generation are remembered.
     pub attempt_memory: Duration,
+    /// Time after the refusal of a resumed generation during which new work stands back.
+    pub resume_preference: Duration,
 }
 
 impl Default for GateConfig {
@@ -20,6 +22,7 @@
         Self {
             claim_memory: Duration::from_secs(600),
             attempt_memory: Duration::from_secs(120),
+            resume_preference: Duration::from_millis(300),
         }
     }
 }
@@ -46,6 +49,8 @@
         attempt: AttemptNumber,
         /// The model version that the generation is pinned to.
         version: &'a str,
+        /// Whether its reader already has tokens.
+        is_resume: bool,
     },
     /// A call that may be repeated.
     Repeatable,
@@ -74,6 +79,7 @@
     claims_by_age: VecDeque<(Instant, ClaimNonce)>,
     attempts: HashMap<GenerationId, (AttemptNumber, Instant)>,
     attempts_swept: Option<Instant>,
+    resume_refused: Option<Instant>,
 }
 
 impl Gate {
@@ -90,6 +96,7 @@
             claims_by_age: VecDeque::new(),
             attempts: HashMap::new(),
             attempts_swept: None,
+            resume_refused: None,
         }
     }
 
@@ -150,14 +157,13 @@
         if self.is_draining() {
             return Err(Reason::Draining);
         }
-        if self.in_flight >= self.limit {
-            return Err(Reason::BackendFull);
-        }
+        self.check_room(work, now)?;
         match work {
             Work::Attempt {
                 generation,
                 attempt,
                 version,
+                ..
             } => self.admit_attempt(*generation, *attempt, version, now)?,
             Work::Repeatable => {}
             Work::Claimed { nonce } => self.admit_claim(*nonce, now)?,
@@ -184,6 +190,28 @@
         entry.1 = now;
     }
 
+    /// Checks the limit; a place that is freed goes to a resumed generation that was refused.
+    fn check_room(&mut self, work: &Work<'_>, now: Instant) -> Result<(), Reason> {
+        let is_resume = matches!(
+            work,
+            Work::Attempt {
+                is_resume: true,
+                ..
+            }
+        );
+        let is_full = self.in_flight >= self.limit;
+        if is_full && is_resume {
+            self.resume_refused = Some(now);
+        }
+        let is_awaited = self
+            .resume_refused
+            .is_some_and(|at| now.duration_since(at) < self.cfg.resume_preference);
+        if is_full || (is_awaited && !is_resume) {
+            return Err(Reason::BackendFull);
+        }
+        Ok(())
+    }
+
     fn admit_attempt(
         &mut self,
         generation: GenerationId,
--- a/crates/cactusbarrow_policy/src/generation.rs
+++ b/crates/cactusbarrow_policy/src/generation.rs
@@ -527,7 +527,13 @@
             self.promote_standby(actions);
             return;
         }
-        let wait = self.cfg.backoff.delay(self.refusals, rng);
+        // A reader that has tokens waits for the next: its attempts are not spread out.
+        let step = if self.accepted.is_empty() {
+            self.refusals
+        } else {
+            0
+        };
+        let wait = self.cfg.backoff.delay(step, rng);
         self.refusals += 1;
         self.retry_at = Some(now + wait);
     }
--- a/crates/cactusbarrow_policy/src/lib.rs
+++ b/crates/cactusbarrow_policy/src/lib.rs
@@ -26,7 +26,7 @@
 mod tokens;
 
 pub use adoption::{Adoption, Change, ChangeLog, Delta, DeltaError, Digest};
-pub use choose::{BackendLoad, Candidate, ChooseConfig, ChooseStrategy, LoadTable};
+pub use choose::{BackendLoad, Candidate, ChooseConfig, ChooseRequest, ChooseStrategy, LoadTable};
 pub use claims::{
     ClaimAction, ClaimConfig, ClaimEntry, ClaimEvent, ClaimPage, ClaimPageError, ClaimRequest,
     ClaimShard, ClaimVerdict, EntryState,
--- a/crates/cactusbarrow_policy/tests/gate.rs
+++ b/crates/cactusbarrow_policy/tests/gate.rs
@@ -70,6 +70,7 @@
                         generation: GenerationId(generation),
                         attempt: AttemptNumber(attempt),
                         version: "v1",
+                        is_resume: false,
                     };
                     let admitted = gate.admit(&work, now);
                     let is_new = fences.get(&generation).is_none_or(|last| attempt > *last);
@@ -133,6 +134,31 @@
         generation: GenerationId(1),
         attempt: AttemptNumber(1),
         version: "v1",
+        is_resume: false,
     };
     assert_eq!(gate.admit(&work, Instant::now()), Err(Reason::WrongVersion));
 }
+
+#[test]
+fn a_freed_place_goes_to_a_resumed_generation() {
+    let mut gate = Gate::new(GateConfig::default(), 1);
+    let now = Instant::now();
+    let resume = Work::Attempt {
+        generation: GenerationId(1),
+        attempt: AttemptNumber(2),
+        version: "v1",
+        is_resume: true,
+    };
+    let held = gate.admit(&Work::Repeatable, now).expect("there is room");
+    assert_eq!(gate.admit(&resume, now), Err(Reason::BackendFull));
+    gate.release(held);
+    let soon = now + Duration::from_millis(100);
+    assert_eq!(
+        gate.admit(&Work::Repeatable, soon),
+        Err(Reason::BackendFull)
+    );
+    let resumed = gate.admit(&resume, soon).expect("the place was kept");
+    gate.release(resumed);
+    let later = now + Duration::from_millis(400);
+    assert!(gate.admit(&Work::Repeatable, later).is_ok());
+}
--- a/crates/cactusbarrow_policy/tests/routing.rs
+++ b/crates/cactusbarrow_policy/tests/routing.rs
@@ -6,9 +6,9 @@
 use std::time::{Duration, Instant};
 
 use cactusbarrow_policy::{
-    BackendHealth, BackendLoad, Backoff, Candidate, ChooseConfig, CustomerLimits, CustomerTable,
-    EngineOrders, HealthConfig, LimitRefusal, LoadTable, Member, OrderConfig, RetryBudget,
-    Revision, SubsetConfig, Suspicion, SuspicionConfig, select_subset,
+    BackendHealth, BackendLoad, Backoff, Candidate, ChooseConfig, ChooseRequest, CustomerLimits,
+    CustomerTable, EngineOrders, HealthConfig, LimitRefusal, LoadTable, Member, OrderConfig,
+    RetryBudget, Revision, SubsetConfig, Suspicion, SuspicionConfig, select_subset,
 };
 use common::fixed;
 use proptest::prelude::*;
@@ -33,6 +33,13 @@
         .collect()
 }
 
+fn for_prompt(prompt: &[u8]) -> ChooseRequest<'_> {
+    ChooseRequest {
+        prompt: Some(prompt),
+        is_resume: false,
+    }
+}
+
 proptest! {
     #![proptest_config(fixed(500))]
 
@@ -55,7 +62,7 @@
         let cfg = ChooseConfig::default();
         let now = Instant::now();
         let candidates = candidates(&names);
-        let choice = table.choose(&cfg, &candidates, Some(prompt.as_bytes()), now, &mut rng);
+        let choice = table.choose(&cfg, &candidates, for_prompt(prompt.as_bytes()), now, &mut rng);
         let is_usable = |(in_flight, is_draining, is_alive): &(usize, bool, bool)| {
             *in_flight < LIMIT && !is_draining && *is_alive
         };
@@ -77,7 +84,7 @@
         let cfg = ChooseConfig::default();
         for prompt in &prompts {
             let i = table
-                .choose(&cfg, &candidates, Some(&[*prompt]), Instant::now(), &mut rng)
+                .choose(&cfg, &candidates, for_prompt(&[*prompt]), Instant::now(), &mut rng)
                 .unwrap();
             table.record_start(&names[i]);
         }
@@ -207,7 +214,8 @@
         let mut table = table.clone();
         (0..LIMIT)
             .take_while(|_| {
-                let choice = table.choose(&cfg, &candidates, None, now, &mut rng);
+                let choice =
+                    table.choose(&cfg, &candidates, ChooseRequest::default(), now, &mut rng);
                 table.record_start(&names[0]);
                 choice.is_some()
             })
--- a/crates/cactusbarrow_router/src/calls.rs
+++ b/crates/cactusbarrow_router/src/calls.rs
@@ -8,7 +8,8 @@
 use cactusbarrow_net::{Body, Clock, NetError};
 use cactusbarrow_platform::{HostList, Store};
 use cactusbarrow_policy::{
-    Backoff, ClaimNonce, ClaimRequest, ClaimVerdict, KeyHash, Outcome, Reason, stable_hash,
+    Backoff, ChooseRequest, ClaimNonce, ClaimRequest, ClaimVerdict, KeyHash, Outcome, Reason,
+    stable_hash,
 };
 use cactusbarrow_protocol::generated::DirectoryEntry;
 use cactusbarrow_protocol::{
@@ -109,7 +110,12 @@
         if left.is_zero() {
             break;
         }
-        let Some(server) = router.choose(&call.service.name, None, None, &excluded) else {
+        let Some(server) = router.choose(
+            &call.service.name,
+            None,
+            ChooseRequest::default(),
+            &excluded,
+        ) else {
             excluded.clear();
             pause(retries).await;
             retries += 1;
@@ -178,7 +184,12 @@
     let mut retries = 0;
     let mut last = Reason::NoBackend;
     while router.clock.now() < call.deadline {
-        let Some(server) = router.choose(&call.service.name, None, None, &excluded) else {
+        let Some(server) = router.choose(
+            &call.service.name,
+            None,
+            ChooseRequest::default(),
+            &excluded,
+        ) else {
             excluded.clear();
             pause(retries).await;
             retries += 1;
--- a/crates/cactusbarrow_router/src/drive.rs
+++ b/crates/cactusbarrow_router/src/drive.rs
@@ -8,7 +8,8 @@
 use cactusbarrow_net::Clock;
 use cactusbarrow_platform::{HostList, Store};
 use cactusbarrow_policy::{
-    Action, AttemptEnd, AttemptNumber, Event, Generation, GenerationId, KeyHash, Outcome, Reason,
+    Action, AttemptEnd, AttemptNumber, ChooseRequest, Event, Generation, GenerationId, KeyHash,
+    Outcome, Reason,
 };
 use cactusbarrow_protocol::generated::control_request::Request;
 use cactusbarrow_protocol::generated::{CancelAttempt, GenerateRequest};
@@ -266,13 +267,14 @@
     /// Sends an attempt to a backend server; returns false if none has room.
     fn launch(&mut self, attempt: AttemptNumber, prefix: usize) -> bool {
         let template = &self.req.template;
+        let req = ChooseRequest {
+            prompt: Some(template.prompt.as_bytes()),
+            is_resume: prefix > 0,
+        };
         let choose = |excluded: &[String]| {
-            self.router.choose(
-                &self.req.service,
-                Some(&template.version),
-                Some(template.prompt.as_bytes()),
-                excluded,
-            )
+            let version = Some(template.version.as_str());
+            self.router
+                .choose(&self.req.service, version, req, excluded)
         };
         // Servers that refused before may have room by now.
         let Some(server) = choose(&self.excluded).or_else(|| choose(&[])) else {
--- a/crates/cactusbarrow_router/src/hosts.rs
+++ b/crates/cactusbarrow_router/src/hosts.rs
@@ -14,6 +14,11 @@
 use crate::router::Router;
 
 const RETRY_WAIT: Duration = Duration::from_millis(500);
+/// Bytes of one router in the platform's answer.
+const BYTES_PER_HOST: f64 = 150.0;
+/// Bytes per second that reading the list of routers may take.
+const LIST_BYTES_PER_S: f64 = 250.0;
+const MIN_LIST_INTERVAL: Duration = Duration::from_secs(1);
 const NOTIFY_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// The backend servers that are leaving, as of one index of the list.
@@ -44,33 +49,43 @@
     }
 }
 
-/// Follows the platform's list until the router stops.
-pub(crate) async fn follow<S: Store + HostList, C: Clock>(router: Arc<Router<S, C>>) {
+/// Reads the list of routers until the router stops; the larger it is, the more seldom.
+pub(crate) async fn follow_routers<S: Store + HostList, C: Clock>(router: Arc<Router<S, C>>) {
+    loop {
+        match router.store.routers().await {
+            Ok(hosts) => adopt_routers(&router, &hosts),
+            Err(e) => log::warn!(step = e.step, peer = e.peer; "{e}"),
+        }
+        let bytes = router.peers.all().len() as f64 * BYTES_PER_HOST;
+        let pause = Duration::from_secs_f64(bytes / LIST_BYTES_PER_S).max(MIN_LIST_INTERVAL);
+        tokio::select! {
+            () = router.stop.cancelled() => return,
+            () = tokio::time::sleep(pause.mul_f64(jitter())) => {}
+        }
+    }
+}
+
+/// Watches the hosts that are leaving until the router stops, if this router is to watch.
+pub(crate) async fn follow_leaving<S: Store + HostList, C: Clock>(router: Arc<Router<S, C>>) {
     let mut index = 0;
     loop {
         let is_watcher = router.peers.is_watcher(router.cfg.watchers_per_zone);
-        let wait = if is_watcher {
-            router.cfg.watch_wait
-        } else {
-            Duration::from_millis(1)
-        };
-        let pause = match router.store.hosts(index, wait).await {
-            Ok((at, hosts)) => {
-                if at != index {
+        let mut pause = Duration::ZERO;
+        if is_watcher {
+            match router.store.leaving(index, router.cfg.watch_wait).await {
+                Ok((at, hosts)) if at != index => {
                     index = at;
-                    adopt(&router, at, &hosts, is_watcher);
+                    adopt_leaving(&router, at, &hosts);
                 }
-                if is_watcher {
-                    Duration::ZERO
-                } else {
-                    router.cfg.idle_read_interval.mul_f64(jitter())
+                Ok(_) => {}
+                Err(e) => {
+                    log::warn!(step = e.step, peer = e.peer; "{e}");
+                    pause = RETRY_WAIT.mul_f64(jitter());
                 }
             }
-            Err(e) => {
-                log::warn!(step = e.step, peer = e.peer; "{e}");
-                RETRY_WAIT.mul_f64(jitter())
-            }
-        };
+        } else {
+            pause = router.cfg.idle_read_interval.mul_f64(jitter());
+        }
         tokio::select! {
             () = router.stop.cancelled() => return,
             () = tokio::time::sleep(pause) => {}
@@ -83,12 +98,7 @@
     rand::rng().random_range(0.75..1.25)
 }
 
-fn adopt<S: Store + HostList, C: Clock>(
-    router: &Arc<Router<S, C>>,
-    index: u64,
-    hosts: &[Host],
-    is_watcher: bool,
-) {
+fn adopt_routers<S: Store + HostList, C: Clock>(router: &Router<S, C>, hosts: &[Host]) {
     let routers: Vec<Peer> = hosts
         .iter()
         .filter(|host| host.role == HostRole::Router && host.state == HostState::Live)
@@ -103,6 +113,13 @@
     if !routers.is_empty() && router.peers.replace(routers) {
         router.select_members();
     }
+}
+
+fn adopt_leaving<S: Store + HostList, C: Clock>(
+    router: &Arc<Router<S, C>>,
+    index: u64,
+    hosts: &[Host],
+) {
     let is_leaving =
         |host: &&Host| host.role == HostRole::BackendServer && host.state == HostState::Leaving;
     let names = hosts
@@ -110,12 +127,9 @@
         .filter(is_leaving)
         .map(|host| host.name.clone())
         .collect();
-    let changed = router.leaving.replace(index, names);
-    if is_watcher {
-        // Few routers watch, so they tell the agents concerned at once.
-        for name in changed {
-            notify(router, &name);
-        }
+    // Few routers watch, so they tell the agents concerned at once.
+    for name in router.leaving.replace(index, names) {
+        notify(router, &name);
     }
 }
 
--- a/crates/cactusbarrow_router/src/router.rs
+++ b/crates/cactusbarrow_router/src/router.rs
@@ -8,7 +8,8 @@
 use cactusbarrow_net::{Clock, ControlClient, HttpClient, HttpVersion};
 use cactusbarrow_platform::{HostList, Store};
 use cactusbarrow_policy::{
-    Candidate, CustomerTable, GenerationConfig, LoadTable, Reason, RetryBudget, Revision,
+    Candidate, ChooseRequest, CustomerTable, GenerationConfig, LoadTable, Reason, RetryBudget,
+    Revision,
 };
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -116,7 +117,7 @@
         &self,
         service: &str,
         version: Option<&str>,
-        prompt: Option<&[u8]>,
+        req: ChooseRequest<'_>,
         excluded: &[String],
     ) -> Option<Arc<MemberServer>> {
         let members = self.members();
@@ -137,7 +138,7 @@
         let now = self.clock.now();
         let choice =
             self.load()
-                .choose(&self.cfg.choose, &candidates, prompt, now, &mut rand::rng())?;
+                .choose(&self.cfg.choose, &candidates, req, now, &mut rand::rng())?;
         Some(eligible[choice].clone())
     }
 
--- a/crates/cactusbarrow_router/src/run.rs
+++ b/crates/cactusbarrow_router/src/run.rs
@@ -95,7 +95,8 @@
     let handler = Arc::new(RouterControl(router.clone()));
     router.tasks.spawn(control.serve(handler, stop));
     router.tasks.spawn(config_sync::follow(router.clone()));
-    router.tasks.spawn(hosts::follow(router.clone()));
+    router.tasks.spawn(hosts::follow_routers(router.clone()));
+    router.tasks.spawn(hosts::follow_leaving(router.clone()));
     router.tasks.spawn(gossip::spread(router.clone()));
     router.tasks.spawn(poll::poll(router.clone()));
     let revision = router.config.subscribe();
--- a/crates/cactusbarrow_standins/src/consul_server.rs
+++ b/crates/cactusbarrow_standins/src/consul_server.rs
@@ -175,7 +175,7 @@
         };
         if path == "/v1/catalog/nodes" {
             self.wait(&query, |tables| tables.nodes_index).await;
-            return self.nodes();
+            return self.nodes(&query);
         }
         let Some(key) = path.strip_prefix("/v1/kv/") else {
             return plain(StatusCode::NOT_FOUND, "no such path");
@@ -265,12 +265,13 @@
         plain(StatusCode::OK, if is_done { "true" } else { "false" })
     }
 
-    fn nodes(&self) -> Response<Body> {
+    fn nodes(&self, query: &str) -> Response<Body> {
         self.counts.reads.fetch_add(1, Ordering::Relaxed);
         let tables = self.tables();
         let nodes: Vec<serde_json::Value> = tables
             .nodes
             .iter()
+            .filter(|(_, meta)| is_wanted(meta, parameter(query, "filter")))
             .map(|(name, meta)| serde_json::json!({"Node": name, "Address": "", "Meta": meta}))
             .collect();
         with_index(
@@ -280,6 +281,16 @@
     }
 }
 
+/// Applies the filters that the system uses; without one every node is wanted.
+fn is_wanted(meta: &BTreeMap<String, String>, filter: Option<&str>) -> bool {
+    let has = |key: &str, value: &str| meta.get(key).is_some_and(|v| v == value);
+    match filter {
+        None => true,
+        Some(filter) if filter.contains("cactusbarrow-role") => has("cactusbarrow-role", "router"),
+        Some(_) => has("state", "leaving"),
+    }
+}
+
 fn parameter<'a>(query: &'a str, name: &str) -> Option<&'a str> {
     query
         .split('&')
--- a/examples/experiment/config.rs
+++ b/examples/experiment/config.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use cactusbarrow_document::{Customer, Object, hash_api_key};
+use cactusbarrow_document::{BackendServer, Customer, Object, hash_api_key};
 use cactusbarrow_platform::{
     CommitError, CommitRequest, ConsulStore, Edit, PlanError, commit, find_operation,
     load_configuration,
@@ -41,6 +41,8 @@
     uncertain: u64,
     unavailable: u64,
     accepted: Vec<Accepted>,
+    /// Accepted changes of backend servers: name, revision and when.
+    of_servers: Vec<(String, u64, Instant)>,
 }
 
 /// When each process had each revision in force.
@@ -67,6 +69,9 @@
     for router in &cluster.routers {
         observe(&router.cfg.name, router.handle.revisions(), &observed);
     }
+    for site in &cluster.engines {
+        observe_agent(&site.name, site.revisions.clone(), &observed);
+    }
     let tally = Arc::new(Mutex::new(Tally::default()));
     let changes_each = if is_short { 8 } else { 60 };
     let done = Arc::new(AtomicBool::new(false));
@@ -75,6 +80,14 @@
         let store = cluster.store_client();
         operators.spawn(operate(store, operator, seed, changes_each, tally.clone()));
     }
+    let servers = cluster.engines.iter().map(|site| site.object.clone());
+    operators.spawn(resize(
+        cluster.store_client(),
+        servers.collect(),
+        seed,
+        changes_each,
+        tally.clone(),
+    ));
     let outages = {
         let fault = inject(&mut cluster, &observed, done.clone());
         let wait = async {
@@ -111,6 +124,57 @@
     });
 }
 
+fn observe_agent(
+    name: &str,
+    mut revisions: tokio::sync::watch::Receiver<Revision>,
+    observed: &Arc<Mutex<Observed>>,
+) {
+    let name = name.to_owned();
+    let observed = observed.clone();
+    tokio::spawn(async move {
+        while revisions.changed().await.is_ok() {
+            let revision = revisions.borrow_and_update().0;
+            observed
+                .lock()
+                .expect("no observer panics")
+                .by_process
+                .entry(name.clone())
+                .or_default()
+                .push((Instant::now(), revision));
+        }
+    });
+}
+
+/// Changes backend servers one after another; their agents must learn of it.
+async fn resize(
+    store: ConsulStore,
+    servers: Vec<BackendServer>,
+    seed: u64,
+    changes: usize,
+    tally: Arc<Mutex<Tally>>,
+) {
+    let mut rng = StdRng::seed_from_u64(seed ^ 0x5e7);
+    for n in 0..changes {
+        tokio::time::sleep(Duration::from_millis(rng.random_range(100..300))).await;
+        let Ok(configuration) = load_configuration(&store).await else {
+            continue;
+        };
+        let mut server = servers[n % servers.len()].clone();
+        server.max_in_flight = 100 + n as u32;
+        let name = server.name.clone();
+        let req = CommitRequest {
+            operation: format!("resize-{seed}-{n}"),
+            base: configuration.root.revision(),
+            edits: vec![Edit::Set(Object::BackendServer(server))],
+        };
+        if let Ok(done) = commit(&store, &req).await {
+            let accepted = (name, done.revision.0, Instant::now());
+            let mut tally = tally.lock().expect("no operator panics");
+            tally.of_servers.push(accepted);
+        }
+    }
+}
+
 /// Makes changes one after another, each retried until its fate is known.
 async fn operate(
     store: ConsulStore,
@@ -261,6 +325,13 @@
         })
         .count();
     outcome.must_be("routers_behind_at_end", behind as u64, 0);
+    let (agents_calm, agents_in_outage) = agent_times(&tally.of_servers, &observed, outages);
+    let agents = Percentiles::of(&agents_calm);
+    outcome.set("changes_of_backend_servers", tally.of_servers.len());
+    outcome.set("in_force_at_agent_ms", agents);
+    let agents_in_outage = Percentiles::of(&agents_in_outage);
+    outcome.set("in_force_at_agent_ms_over_outage", agents_in_outage);
+    outcome.bound("in_force_at_agent_max", agents.max, IN_FORCE_BOUND_MS);
     let (calm, in_outage) = in_force_times(&tally.accepted, &observed, &live, outages);
     let calm = Percentiles::of(&calm);
     outcome.set("in_force_ms", calm);
@@ -296,6 +367,34 @@
     last.into_values().filter(is_lost).count() as u64
 }
 
+/// Returns the times from acceptance until the agent concerned had a change, or a later one.
+fn agent_times(
+    accepted: &[(String, u64, Instant)],
+    observed: &Observed,
+    outages: &[(Instant, Instant)],
+) -> (Vec<Duration>, Vec<Duration>) {
+    let (mut calm, mut in_outage) = (Vec::new(), Vec::new());
+    for (name, revision, accepted_at) in accepted {
+        let seen = observed.by_process.get(name);
+        let reached = seen.and_then(|seen| seen.iter().find(|(_, r)| r >= revision));
+        // A change that never arrives counts with the whole time that was left for it.
+        let end = reached.map_or_else(Instant::now, |(at, _)| *at);
+        let time = end.saturating_duration_since(*accepted_at);
+        if is_calm(*accepted_at, end, outages) {
+            calm.push(time);
+        } else {
+            in_outage.push(time);
+        }
+    }
+    (calm, in_outage)
+}
+
+fn is_calm(from: Instant, to: Instant, outages: &[(Instant, Instant)]) -> bool {
+    outages
+        .iter()
+        .all(|(start, end)| to < *start || from > *end)
+}
+
 /// Returns the times from acceptance until all routers that live to the end had a change.
 fn in_force_times(
     accepted: &[Accepted],
@@ -313,10 +412,7 @@
         });
         let Some(time) = reached.max() else { continue };
         let end = change.at + time;
-        let is_calm = outages
-            .iter()
-            .all(|(from, to)| end < *from || change.at > *to);
-        if is_calm {
+        if is_calm(change.at, end, outages) {
             calm.push(time);
         } else {
             in_outage.push(time);
