--- a/crates/cactusbarrow_agent/src/run.rs
+++ b/crates/cactusbarrow_agent/src/run.rs
@@ -5,7 +5,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cactusbarrow_net::{Body, Clock, ControlServer, NetError, PeerAddr, ServeConfig, serve};
+use cactusbarrow_net::{
+    Body, Clock, ControlServer, NetError, PeerAddr, ServeConfig, listen, serve,
+};
 use cactusbarrow_policy::{DrainCause, Outcome, Reason, Revision};
 use cactusbarrow_protocol::{ANSWER_PATH, ATTACH_PATH, CALL_PATH, GENERATE_PATH};
 use http::{Request, Response, StatusCode};
@@ -69,12 +71,7 @@
     clock: C,
     shutdown: CancellationToken,
 ) -> Result<AgentHandle, NetError> {
-    let listener = TcpListener::bind(cfg.listen)
-        .await
-        .map_err(|e| NetError::new("listen", cfg.listen, e))?;
-    let listen = listener
-        .local_addr()
-        .map_err(|e| NetError::new("listen", cfg.listen, e))?;
+    let (listener, listen) = listen(cfg.listen).await?;
     let control = ControlServer::bind(cfg.control).await?;
     let control_addr = control.local_addr();
     let stop = CancellationToken::new();
--- a/crates/cactusbarrow_net/src/lib.rs
+++ b/crates/cactusbarrow_net/src/lib.rs
@@ -20,5 +20,5 @@
 pub use control_server::{ControlHandler, ControlServer};
 pub use error::NetError;
 pub use http_client::{HttpClient, HttpVersion};
-pub use server::{PeerAddr, ServeConfig, serve};
+pub use server::{PeerAddr, ServeConfig, listen, serve};
 pub use sse::{SseDecoder, SseError, SseEvent};
--- a/crates/cactusbarrow_net/src/server.rs
+++ b/crates/cactusbarrow_net/src/server.rs
@@ -14,7 +14,7 @@
 use tokio_util::sync::CancellationToken;
 use tower::{Service, ServiceBuilder};
 
-use crate::Body;
+use crate::{Body, NetError};
 
 /// Wait after a failed accept, for instance when file handles run out.
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
@@ -41,6 +41,14 @@
     }
 }
 
+/// Listens on an address, and returns the one it got: port 0 takes any free port.
+pub async fn listen(addr: SocketAddr) -> Result<(TcpListener, SocketAddr), NetError> {
+    let error = |e: std::io::Error| NetError::new("listen", addr, e);
+    let listener = TcpListener::bind(addr).await.map_err(error)?;
+    let addr = listener.local_addr().map_err(error)?;
+    Ok((listener, addr))
+}
+
 /// Serves until `shutdown`, then finishes the requests in flight within the grace.
 ///
 /// Returns true if every connection ended within the grace.
--- a/crates/cactusbarrow_policy/src/lib.rs
+++ b/crates/cactusbarrow_policy/src/lib.rs
@@ -8,10 +8,13 @@
 #![warn(missing_docs)]
 
 mod adoption;
+mod attempt;
 mod choose;
-mod claims;
+mod claim_page;
+mod claim_shard;
 mod gate;
 mod generation;
+mod generation_event;
 mod hash;
 mod health;
 mod ids;
@@ -27,13 +30,14 @@
 
 pub use adoption::{Adoption, Change, ChangeLog, Delta, DeltaError, Digest};
 pub use choose::{BackendLoad, Candidate, ChooseConfig, ChooseRequest, ChooseStrategy, LoadTable};
-pub use claims::{
-    ClaimAction, ClaimConfig, ClaimEntry, ClaimEvent, ClaimPage, ClaimPageError, ClaimRequest,
-    ClaimShard, ClaimVerdict, EntryState,
+pub use claim_page::{ClaimEntry, ClaimPage, ClaimPageError, EntryState};
+pub use claim_shard::{
+    ClaimAction, ClaimConfig, ClaimEvent, ClaimRequest, ClaimShard, ClaimVerdict,
 };
 pub use gate::{DrainCause, Gate, GateConfig, Permit, Work};
-pub use generation::{
-    Action, AttemptEnd, EndReason, Event, Favor, Generation, GenerationConfig, GenerationStats,
+pub use generation::Generation;
+pub use generation_event::{
+    Action, AttemptEnd, EndReason, Event, Favor, GenerationConfig, GenerationStats,
 };
 pub use hash::{mix, rendezvous_order, rendezvous_weight, stable_hash};
 pub use health::{BackendHealth, HealthConfig};
--- a/crates/cactusbarrow_router/src/calls.rs
+++ b/crates/cactusbarrow_router/src/calls.rs
@@ -105,22 +105,8 @@
     let mut may_have_run = !call.key.is_fresh;
     let mut retries = 0;
     let mut last = Reason::NoBackend;
-    loop {
+    while let Some(server) = next_server(router, call, &mut excluded, &mut retries).await {
         let left = call.deadline.saturating_duration_since(router.clock.now());
-        if left.is_zero() {
-            break;
-        }
-        let Some(server) = router.choose(
-            &call.service.name,
-            None,
-            ChooseRequest::default(),
-            &excluded,
-        ) else {
-            excluded.clear();
-            pause(retries).await;
-            retries += 1;
-            continue;
-        };
         let patience = call.deadline - call.arrived;
         let limit = left.min(patience.mul_f64(TRY_SHARE));
         match send(router, call, &server, None, limit).await {
@@ -147,6 +133,27 @@
     Err(Refusal::new(outcome, last, "call service"))
 }
 
+/// Chooses the server for the next try, waiting while none has room; `None` once the caller's
+/// patience is over.
+async fn next_server<S: Store + HostList, C: Clock>(
+    router: &Router<S, C>,
+    call: &ServiceCall<'_>,
+    excluded: &mut Vec<String>,
+    retries: &mut u32,
+) -> Option<Arc<MemberServer>> {
+    while router.clock.now() < call.deadline {
+        let any = ChooseRequest::default();
+        let server = router.choose(&call.service.name, None, any, excluded);
+        if server.is_some() {
+            return server;
+        }
+        excluded.clear();
+        pause(*retries).await;
+        *retries += 1;
+    }
+    None
+}
+
 /// Claims a call, then sends it at most once.
 async fn unrepeatable<S: Store + HostList, C: Clock>(
     router: &Arc<Router<S, C>>,
@@ -183,18 +190,7 @@
     let mut excluded = Vec::new();
     let mut retries = 0;
     let mut last = Reason::NoBackend;
-    while router.clock.now() < call.deadline {
-        let Some(server) = router.choose(
-            &call.service.name,
-            None,
-            ChooseRequest::default(),
-            &excluded,
-        ) else {
-            excluded.clear();
-            pause(retries).await;
-            retries += 1;
-            continue;
-        };
+    while let Some(server) = next_server(router, call, &mut excluded, &mut retries).await {
         note_server(router, &claim, server.name());
         let left = call.deadline.saturating_duration_since(router.clock.now());
         match send(router, call, &server, Some(&claim), left).await {
--- a/crates/cactusbarrow_router/src/run.rs
+++ b/crates/cactusbarrow_router/src/run.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use cactusbarrow_net::{
-    Body, Clock, ControlServer, NetError, PeerAddr, ServeConfig, collect_limited, serve,
+    Body, Clock, ControlServer, NetError, PeerAddr, ServeConfig, collect_limited, listen, serve,
 };
 use cactusbarrow_platform::{HostList, Store};
 use cactusbarrow_policy::{Reason, Revision};
@@ -77,12 +77,7 @@
     clock: C,
     shutdown: CancellationToken,
 ) -> Result<RouterHandle, NetError> {
-    let listener = TcpListener::bind(cfg.listen)
-        .await
-        .map_err(|e| NetError::new("listen", cfg.listen, e))?;
-    let listen = listener
-        .local_addr()
-        .map_err(|e| NetError::new("listen", cfg.listen, e))?;
+    let (listener, listen) = listen(cfg.listen).await?;
     let control = ControlServer::bind(cfg.control).await?;
     let control_addr = control.local_addr();
     let own = Peer {
--- a/examples/experiment/config.rs
+++ b/examples/experiment/config.rs
@@ -51,6 +51,13 @@
     by_process: BTreeMap<String, Vec<(Instant, u64)>>,
 }
 
+impl Observed {
+    fn record(&mut self, process: &str, revision: u64) {
+        let seen = self.by_process.entry(process.to_owned()).or_default();
+        seen.push((Instant::now(), revision));
+    }
+}
+
 /// Runs the experiment.
 pub(crate) async fn run(seed: u64, is_short: bool) -> Outcome {
     let mut cluster = Cluster::start(ClusterConfig {
@@ -113,10 +120,7 @@
             observed
                 .lock()
                 .expect("no observer panics")
-                .by_process
-                .entry(name.clone())
-                .or_default()
-                .push((Instant::now(), revision));
+                .record(&name, revision);
             if revisions.changed().await.is_err() {
                 return;
             }
@@ -137,10 +141,7 @@
             observed
                 .lock()
                 .expect("no observer panics")
-                .by_process
-                .entry(name.clone())
-                .or_default()
-                .push((Instant::now(), revision));
+                .record(&name, revision);
         }
     });
 }
@@ -200,12 +201,12 @@
     limit: u32,
     tally: &Mutex<Tally>,
 ) {
-    let add = |f: &mut dyn FnMut(&mut Tally)| f(&mut tally.lock().expect("no operator panics"));
-    add(&mut |t| t.changes += 1);
+    let tally = || tally.lock().expect("no operator panics");
+    tally().changes += 1;
     let base = match load_configuration(store).await {
         Ok(configuration) => configuration.root.revision(),
         Err(_) => {
-            add(&mut |t| t.unavailable += 1);
+            tally().unavailable += 1;
             return;
         }
     };
@@ -229,21 +230,19 @@
     };
     match commit(store, &req).await {
         Ok(done) if done.is_change => {
-            let accepted = accepted(done.revision.0);
-            add(&mut |t| t.accepted.push(accepted.clone()));
+            tally().accepted.push(accepted(done.revision.0));
         }
         Ok(_) => {}
-        Err(CommitError::Refused(PlanError::Conflict { .. })) => add(&mut |t| t.conflicts += 1),
+        Err(CommitError::Refused(PlanError::Conflict { .. })) => tally().conflicts += 1,
         Err(CommitError::Uncertain(_)) => {
-            add(&mut |t| t.uncertain += 1);
+            tally().uncertain += 1;
             // The operator asks later, as the client tells it to.
             tokio::time::sleep(OUTAGE * 2).await;
             if let Ok(Some(receipt)) = find_operation(store, operation).await {
-                let accepted = accepted(receipt.revision);
-                add(&mut |t| t.accepted.push(accepted.clone()));
+                tally().accepted.push(accepted(receipt.revision));
             }
         }
-        Err(_) => add(&mut |t| t.unavailable += 1),
+        Err(_) => tally().unavailable += 1,
     }
 }
 
--- a/examples/experiment/fairness.rs
+++ b/examples/experiment/fairness.rs
@@ -66,22 +66,14 @@
     };
     let is_refused = |f: &Finished| !f.refusals.is_empty();
     Figures {
-        small_first_token_ms: first_tokens(&small),
+        small_first_token_ms: workload::first_tokens(&small),
         small_refused_share: share(&small, is_refused),
         small_completed_share: share(&small, |f| f.is_complete),
-        flood_first_token_ms: first_tokens(&flood),
+        flood_first_token_ms: workload::first_tokens(&flood),
         flood_refused_share: share(&flood, is_refused),
     }
 }
 
-fn first_tokens(finished: &[Finished]) -> Percentiles {
-    let times: Vec<Duration> = finished
-        .iter()
-        .filter_map(|f| f.transcript.first_token_after(f.started))
-        .collect();
-    Percentiles::of(&times)
-}
-
 async fn offer(
     customer: usize,
     spacing: Duration,
--- a/examples/experiment/overhead.rs
+++ b/examples/experiment/overhead.rs
@@ -10,7 +10,7 @@
 use tokio::task::JoinSet;
 
 use crate::report::{Outcome, Percentiles, rounded};
-use crate::workload::{self, Finished, Load};
+use crate::workload::{self, Load};
 
 const TOKENS: usize = 200;
 const TOKEN_INTERVAL: Duration = Duration::from_millis(10);
@@ -46,7 +46,7 @@
     let (router_after, agents_after) = cpu();
     let mut outcome = Outcome::new("overhead", seed);
     workload::judge(&mut outcome, &finished, &cluster.ledger);
-    let through = Percentiles::of(&first_tokens(&finished));
+    let through = workload::first_tokens(&finished);
     outcome.set("first_token_ms_direct", direct);
     outcome.set("first_token_ms_through", through);
     outcome.set(
@@ -69,13 +69,6 @@
     outcome
 }
 
-fn first_tokens(finished: &[Finished]) -> Vec<Duration> {
-    finished
-        .iter()
-        .filter_map(|f| f.transcript.first_token_after(f.started))
-        .collect()
-}
-
 /// Runs the load straight against the engines, and returns the times to the first token.
 async fn run_direct(cluster: &Cluster, streams: usize) -> Percentiles {
     let http = HttpClient::new(HttpVersion::Http1);
--- a/examples/experiment/routing.rs
+++ b/examples/experiment/routing.rs
@@ -79,10 +79,6 @@
         tokio::time::sleep(Duration::from_millis(14)).await;
     }
     let finished = running.join_all().await;
-    let first_tokens: Vec<Duration> = finished
-        .iter()
-        .filter_map(|f| f.transcript.first_token_after(f.started))
-        .collect();
     let counts: Vec<(usize, usize, usize)> = cluster
         .engines
         .iter()
@@ -103,7 +99,7 @@
         .map(|(s, _, n)| (*s as f64 / started as f64) / (*n as f64 / slots as f64))
         .fold(0.0, f64::max);
     Figures {
-        first_token_ms: Percentiles::of(&first_tokens),
+        first_token_ms: workload::first_tokens(&finished),
         cache_hit_share: rounded(hits as f64 / started as f64),
         load_spread: rounded(spread),
         completed: finished.iter().filter(|f| f.is_complete).count(),
--- a/examples/experiment/workload.rs
+++ b/examples/experiment/workload.rs
@@ -206,6 +206,15 @@
     outcome.set("extra_tokens_ratio", rounded(ratio));
 }
 
+/// Returns the times from the request to the first token.
+pub(crate) fn first_tokens(finished: &[Finished]) -> Percentiles {
+    let times: Vec<Duration> = finished
+        .iter()
+        .filter_map(|f| f.transcript.first_token_after(f.started))
+        .collect();
+    Percentiles::of(&times)
+}
+
 /// Returns the times from faults of a kind until output flowed again.
 pub(crate) fn resume_times(
     finished: &[Finished],
--- a/examples/experiment/zone_loss.rs
+++ b/examples/experiment/zone_loss.rs
@@ -75,15 +75,11 @@
     };
     let (finished, faults) = tokio::join!(load, lose);
     let refused = finished.iter().filter(|f| !f.refusals.is_empty()).count();
-    let first_tokens: Vec<Duration> = finished
-        .iter()
-        .filter_map(|f| f.transcript.first_token_after(f.started))
-        .collect();
     Figures {
         resume_ms: workload::resume_times(&finished, &faults, FaultKind::Killed),
         cut: finished.iter().filter(|f| is_cut(f)).count(),
         refused_share: rounded(refused as f64 / finished.len().max(1) as f64),
-        first_token_ms: Percentiles::of(&first_tokens),
+        first_token_ms: workload::first_tokens(&finished),
         completed: finished.iter().filter(|f| f.is_complete).count(),
         generations: finished.len(),
     }
