Wait for killed hosts to end before a test relies on it

Cause of a failure of a_request_no_engine_can_take_is_refused_within_its_patience: the request reached an agent that was still dying, and unknown was the right answer. Two tests now wait until the hosts have ended; what they assert is unchanged.

--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -129,12 +129,12 @@
 async fn a_generation_whose_holder_died_with_its_router_ends_definitely() {
     let mut cluster = small_cluster().await;
     let mut transcript = Transcript::default();
-    let first = cluster.routers.remove(0);
+    let mut first = cluster.routers.remove(0);
     read_some(first.handle.listen, &[], &body(3), &mut transcript).await;
-    for site in &cluster.engines {
-        site.agent.kill();
+    first.host.kill_and_wait().await;
+    for site in &mut cluster.engines {
+        site.agent.kill_and_wait().await;
     }
-    first.host.kill();
     let had = transcript.tokens.clone();
     let other = cluster.routers[0].handle.listen;
     let end = read_rest(other, &[], &body(3), &mut transcript).await;
@@ -345,9 +345,10 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_no_engine_can_take_is_refused_within_its_patience() {
-    let cluster = small_cluster().await;
-    for site in &cluster.engines {
-        site.agent.kill();
+    let mut cluster = small_cluster().await;
+    for site in &mut cluster.engines {
+        // A request that reached a dying agent may have been run, and would be told so.
+        site.agent.kill_and_wait().await;
     }
     let router = cluster.routers[0].handle.listen;
     let started = std::time::Instant::now();
