Judge a caller's patience in paused time, not by the wall clock

The socket test keeps the outcome and the advice; the policy test shows that a generation without a token is given up exactly at its caller's patience.

--- a/crates/cactusbarrow_policy/tests/generation.rs
+++ b/crates/cactusbarrow_policy/tests/generation.rs
@@ -380,3 +380,31 @@
     );
     assert!(actions.contains(&Action::GiveUp(Outcome::Failed, Reason::GenerationLost)));
 }
+
+#[test]
+fn a_generation_without_a_token_is_given_up_at_its_callers_patience() {
+    let cfg = GenerationConfig::for_favor(Favor::Latency);
+    let start = Instant::now();
+    let (mut machine, _) = Generation::start(cfg, start);
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut now = start;
+    while now < start + cfg.first_patience {
+        let attempt = machine.current_attempt();
+        if let Some(attempt) = attempt {
+            let end = AttemptEnd::Refused(Reason::BackendFull);
+            let event = Event::Ended {
+                attempt,
+                length: 0,
+                end,
+            };
+            machine.handle(event, now, &mut rng);
+        }
+        assert!(!machine.is_done());
+        now = machine.next_wake().expect("it goes on");
+        let actions = machine.handle(Event::Tick, now, &mut rng);
+        let given_up = Action::GiveUp(Outcome::NotRun, Reason::BackendFull);
+        assert_eq!(actions.contains(&given_up), machine.is_done());
+    }
+    assert!(machine.is_done());
+    assert_eq!(now, start + cfg.first_patience);
+}
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -49,9 +49,10 @@
         .await
         .expect("the stream opens");
     // The rest is left unread, as by a caller whose connection broke.
-    let read = stream.read(transcript);
-    let _ = tokio::time::timeout(Duration::from_millis(700), read).await;
-    assert!(!transcript.tokens.is_empty());
+    while transcript.tokens.len() < TOKENS / 4 {
+        let read = tokio::time::timeout(Duration::from_millis(50), stream.read(transcript));
+        assert!(read.await.is_err(), "the stream is still open");
+    }
 }
 
 async fn read_rest(
@@ -292,7 +293,9 @@
     let router = cluster.routers[0].handle.listen;
     let headers = [("idempotency-key", "stamp-5")];
     let kill = async {
-        tokio::time::sleep(Duration::from_millis(300)).await;
+        while cluster.calls.received() == 0 {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
         for site in &cluster.services {
             site.agent.kill();
         }
@@ -344,17 +347,16 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn a_request_no_engine_can_take_is_refused_within_its_patience() {
+async fn a_request_no_engine_can_take_is_told_not_run() {
     let mut cluster = small_cluster().await;
     for site in &mut cluster.engines {
         // A request that reached a dying agent may have been run, and would be told so.
         site.agent.kill_and_wait().await;
     }
     let router = cluster.routers[0].handle.listen;
-    let started = std::time::Instant::now();
     let res = call(router, Method::POST, "/v1/completions", &[], &body(8)).await;
     assert_eq!(header(&res, "cactusbarrow-outcome"), "not_run");
-    assert!(started.elapsed() < Duration::from_secs(8));
+    assert_eq!(header(&res, "retry-after"), "1");
 }
 
 #[tokio::test(flavor = "multi_thread")]
