--- a/crates/cactusbarrow_policy/src/generation_event.rs
+++ b/crates/cactusbarrow_policy/src/generation_event.rs
@@ -17,7 +17,7 @@
     Resources,
 }
 
-/// Tuning of one [`Generation`].
+/// Tuning of one [`Generation`](crate::Generation).
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct GenerationConfig {
     /// What to do on suspicion.
