Let watchers take recent changes from the root itself

Now the root holds the last changes and names pages by version, below 4 KB; receipts and deletions lie in a history page that only the client reads. A test removes all shards and sees a watcher go on.

--- a/crates/cactusbarrow_platform/src/commit.rs
+++ b/crates/cactusbarrow_platform/src/commit.rs
@@ -6,9 +6,9 @@
 
 use cactusbarrow_policy::Revision;
 
-use crate::layout::{ROOT_KEY, Receipt, Root, RootError, Shard};
+use crate::layout::{History, ROOT_KEY, Receipt, Root, RootError, Shard, history_key, shard_key};
 use crate::plan::{CommitRequest, Plan, PlanError, plan_commit};
-use crate::store::{Store, StoreError};
+use crate::store::{Store, StoreError, Versioned};
 
 /// Tries to settle a change whose swap lost a race or its answer.
 const MAX_TRIES: u32 = 40;
@@ -64,6 +64,8 @@
     pub root: Root,
     /// Store index of the root; 0 if there is none yet.
     pub index: u64,
+    /// The history.
+    pub history: History,
     /// The shards by name.
     pub shards: BTreeMap<String, Shard>,
 }
@@ -76,45 +78,69 @@
             return Ok(Configuration::default());
         };
         let root = Root::decode(&stored.value)?;
-        let mut shards = BTreeMap::new();
-        for (name, shard) in &root.shards {
-            match store
-                .get(&shard.key)
-                .await
-                .map_err(CommitError::NotChanged)?
-            {
-                Some(value) => {
-                    shards.insert(name.clone(), Shard::decode(&shard.key, &value.value)?);
-                }
-                None => break,
-            }
-        }
-        if shards.len() == root.shards.len() {
+        if let Some((history, shards)) = load_pages(store, &root).await? {
             return Ok(Configuration {
                 root,
                 index: stored.index,
+                history,
                 shards,
             });
         }
-        // A shard was replaced and deleted while we read: the root has moved on.
+        // A page was replaced and deleted while we read: the root has moved on.
         last = Some(root.revision);
     }
     Err(CommitError::Unreadable(RootError {
         key: ROOT_KEY.to_owned(),
-        message: format!("shards of revision {last:?} are missing"),
+        message: format!("pages of revision {last:?} are missing"),
     }))
 }
 
+/// Reads the pages that a root names; `None` if one of them is gone.
+async fn load_pages<S: Store>(
+    store: &S,
+    root: &Root,
+) -> Result<Option<(History, BTreeMap<String, Shard>)>, CommitError> {
+    let Some(history) = load_history(store, root).await? else {
+        return Ok(None);
+    };
+    let mut shards = BTreeMap::new();
+    for (name, version) in &root.shards {
+        let key = shard_key(name, version);
+        let stored = store.get(&key).await.map_err(CommitError::NotChanged)?;
+        let Some(stored) = stored else {
+            return Ok(None);
+        };
+        shards.insert(name.clone(), Shard::decode(&key, &stored.value)?);
+    }
+    Ok(Some((history, shards)))
+}
+
+async fn load_history<S: Store>(store: &S, root: &Root) -> Result<Option<History>, CommitError> {
+    let key = history_key(&root.history);
+    let stored = store.get(&key).await.map_err(CommitError::NotChanged)?;
+    let decode = |stored: Versioned| History::decode(&key, &stored.value);
+    Ok(stored.map(decode).transpose()?)
+}
+
 /// Returns the receipt of an operation, if it was accepted and is still held.
 pub async fn find_operation<S: Store>(
     store: &S,
     operation: &str,
 ) -> Result<Option<Receipt>, CommitError> {
-    let stored = store.get(ROOT_KEY).await.map_err(CommitError::NotChanged)?;
-    let Some(stored) = stored else {
-        return Ok(None);
-    };
-    Ok(Root::decode(&stored.value)?.receipt(operation).cloned())
+    for _ in 0..MAX_TRIES {
+        let stored = store.get(ROOT_KEY).await.map_err(CommitError::NotChanged)?;
+        let Some(stored) = stored else {
+            return Ok(None);
+        };
+        let root = Root::decode(&stored.value)?;
+        if let Some(history) = load_history(store, &root).await? {
+            return Ok(history.receipt(operation).cloned());
+        }
+    }
+    Err(CommitError::Unreadable(RootError {
+        key: ROOT_KEY.to_owned(),
+        message: "the history moves too fast to be read".to_owned(),
+    }))
 }
 
 /// Brings a change into force, or says why it is not.
@@ -133,7 +159,12 @@
             }
             Err(e) => return Err(e),
         };
-        let plan = plan_commit(&configuration.root, &configuration.shards, req);
+        let plan = plan_commit(
+            &configuration.root,
+            &configuration.history,
+            &configuration.shards,
+            req,
+        );
         match plan.map_err(CommitError::Refused)? {
             Plan::Replayed(receipt) => {
                 return Ok(Committed {
@@ -150,10 +181,10 @@
                 });
             }
             Plan::Write {
-                shards,
+                pages,
                 root,
                 garbage,
-            } => match write(store, &configuration, shards, &root).await {
+            } => match write(store, &configuration, pages, &root).await {
                 Ok(true) => {
                     collect(store, garbage).await;
                     return Ok(Committed {
@@ -163,10 +194,10 @@
                     });
                 }
                 Ok(false) => {}
-                Err(WriteError::Shard(e)) if uncertain.is_none() => {
+                Err(WriteError::Page(e)) if uncertain.is_none() => {
                     return Err(CommitError::NotChanged(e));
                 }
-                Err(WriteError::Shard(e) | WriteError::Root(e)) => {
+                Err(WriteError::Page(e) | WriteError::Root(e)) => {
                     uncertain = Some(e);
                     tokio::time::sleep(RETRY_WAIT).await;
                 }
@@ -182,21 +213,21 @@
 }
 
 enum WriteError {
-    Shard(StoreError),
+    Page(StoreError),
     Root(StoreError),
 }
 
 async fn write<S: Store>(
     store: &S,
     configuration: &Configuration,
-    shards: Vec<(String, Vec<u8>)>,
+    pages: Vec<(String, Vec<u8>)>,
     root: &Root,
 ) -> Result<bool, WriteError> {
-    for (key, value) in shards {
+    for (key, value) in pages {
         store
             .put(&key, value.into())
             .await
-            .map_err(WriteError::Shard)?;
+            .map_err(WriteError::Page)?;
     }
     store
         .compare_and_swap(ROOT_KEY, root.encode().into(), configuration.index)
@@ -207,7 +238,7 @@
 async fn collect<S: Store>(store: &S, garbage: Vec<String>) {
     for key in garbage {
         if let Err(e) = store.delete(&key).await {
-            log::debug!(step = "delete old shard"; "{e}");
+            log::debug!(step = "delete old page"; "{e}");
         }
     }
 }
--- a/crates/cactusbarrow_platform/src/config_reader.rs
+++ b/crates/cactusbarrow_platform/src/config_reader.rs
@@ -4,9 +4,10 @@
 use std::fmt;
 use std::time::Duration;
 
+use cactusbarrow_document::ObjectKey;
 use cactusbarrow_policy::{Change, Delta, Revision};
 
-use crate::layout::{ROOT_KEY, Root, RootError, Shard};
+use crate::layout::{PageVersion, ROOT_KEY, Root, RootError, Shard, shard_key, shard_of};
 use crate::store::{Store, StoreError};
 
 /// Why the configuration was not read.
@@ -34,7 +35,7 @@
 
 #[derive(Clone, Debug, Default)]
 struct KnownShard {
-    key: String,
+    version: PageVersion,
     objects: BTreeMap<String, u64>,
 }
 
@@ -78,7 +79,12 @@
             self.index = stored.index;
             return Ok(None);
         }
-        let (shards, changes) = self.read_shards(store, &root).await?;
+        let is_recent = self.revision.0 > 0 && root.recent_after <= self.revision.0;
+        let (shards, changes) = if is_recent {
+            self.apply_recent(&root)?
+        } else {
+            self.read_shards(store, &root).await?
+        };
         let delta = Delta {
             from: self.revision,
             to: root.revision(),
@@ -91,6 +97,37 @@
         Ok(Some(delta))
     }
 
+    /// Takes the changes that the root itself holds.
+    fn apply_recent(
+        &self,
+        root: &Root,
+    ) -> Result<(BTreeMap<String, KnownShard>, Vec<Change>), ReadError> {
+        let mut shards: BTreeMap<String, KnownShard> = BTreeMap::new();
+        let mut changes = Vec::new();
+        for recent in root.recent.iter().filter(|c| c.revision > self.revision.0) {
+            let key: ObjectKey = recent.key.parse().map_err(|e| {
+                ReadError::Value(RootError {
+                    key: ROOT_KEY.to_owned(),
+                    message: format!("{e}"),
+                })
+            })?;
+            let name = shard_of(&key);
+            let known = || self.shards.get(&name).cloned().unwrap_or_default();
+            let shard = shards.entry(name.clone()).or_insert_with(known);
+            shard.version = root.shards.get(&name).cloned().unwrap_or_default();
+            match &recent.object {
+                Some(_) => shard.objects.insert(recent.key.clone(), recent.revision),
+                None => shard.objects.remove(&recent.key),
+            };
+            changes.push(Change {
+                key: recent.key.as_str().into(),
+                value: recent.object.as_ref().map(|o| o.to_json().into()),
+                revision: Revision(recent.revision),
+            });
+        }
+        Ok((shards, changes))
+    }
+
     async fn read_shards<S: Store>(
         &self,
         store: &S,
@@ -98,24 +135,25 @@
     ) -> Result<(BTreeMap<String, KnownShard>, Vec<Change>), ReadError> {
         let mut shards = BTreeMap::new();
         let mut changes = Vec::new();
-        for (name, shard_ref) in &root.shards {
+        for (name, version) in &root.shards {
             let known = self.shards.get(name);
-            if known.is_some_and(|known| known.key == shard_ref.key) {
+            if known.is_some_and(|known| known.version == *version) {
                 continue;
             }
-            let stored = store.get(&shard_ref.key).await.map_err(ReadError::Store)?;
+            let key = shard_key(name, version);
+            let stored = store.get(&key).await.map_err(ReadError::Store)?;
             let Some(stored) = stored else {
-                return Err(ReadError::Moved(shard_ref.key.clone()));
+                return Err(ReadError::Moved(key));
             };
-            let shard = Shard::decode(&shard_ref.key, &stored.value).map_err(ReadError::Value)?;
+            let shard = Shard::decode(&key, &stored.value).map_err(ReadError::Value)?;
             compare(known, &shard, root.revision(), &mut changes);
             let objects = shard
                 .objects
                 .iter()
                 .map(|(key, stored)| (key.clone(), stored.revision))
                 .collect();
-            let key = shard_ref.key.clone();
-            shards.insert(name.clone(), KnownShard { key, objects });
+            let version = version.clone();
+            shards.insert(name.clone(), KnownShard { version, objects });
         }
         changes.sort_by(|a, b| (a.revision, &a.key).cmp(&(b.revision, &b.key)));
         Ok((shards, changes))
--- a/crates/cactusbarrow_platform/src/layout.rs
+++ b/crates/cactusbarrow_platform/src/layout.rs
@@ -6,21 +6,20 @@
 
 use std::collections::BTreeMap;
 
-use cactusbarrow_document::{Object, ObjectKey};
+use cactusbarrow_document::{Kind, Object, ObjectKey};
 use cactusbarrow_policy::{Digest, Revision, stable_hash};
 use serde::{Deserialize, Serialize};
 
 /// Key of the root.
 pub const ROOT_KEY: &str = "cactusbarrow/root";
 
-const SHARDS_PER_KIND: u64 = 16;
+/// Shards of customers and of backend servers each; the other kinds are few.
+const SHARDS_OF_LARGE_KIND: u64 = 16;
 
-/// Names the value that holds a shard.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ShardRef {
-    /// Its store key.
-    pub key: String,
-}
+/// Names the write of a shard or history page, within the name of the page.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct PageVersion(pub String);
 
 /// Proof that an operation was accepted.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -42,7 +41,18 @@
     pub revision: u64,
 }
 
-/// The root of the configuration.
+/// A change that the root itself holds, so that a watcher need not read a shard.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RecentChange {
+    /// Key of the object.
+    pub key: String,
+    /// The revision that changed it.
+    pub revision: u64,
+    /// The object; `None` if it was deleted.
+    pub object: Option<Object>,
+}
+
+/// The root of the configuration; kept small, since watchers read it at every change.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Root {
     /// Revision of the configuration.
@@ -50,15 +60,46 @@
     /// Digest of all objects.
     pub digest: u64,
     /// The shards, by name.
-    pub shards: BTreeMap<String, ShardRef>,
+    pub shards: BTreeMap<String, PageVersion>,
+    /// The history page.
+    pub history: PageVersion,
+    /// The last changes, oldest first.
+    pub recent: Vec<RecentChange>,
+    /// The revision after which `recent` is complete.
+    pub recent_after: u64,
+}
+
+/// What operators may ask of the past; read by their client only.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct History {
     /// Receipts of the last operations, oldest first.
     pub receipts: Vec<Receipt>,
     /// The last deletions, oldest first.
     pub deletions: Vec<Deletion>,
-    /// Store keys of replaced shards that readers may still be reading.
+    /// Store keys of replaced pages that readers may still be reading.
     pub retired: Vec<String>,
 }
 
+impl History {
+    /// Reads a history page from its stored form.
+    pub fn decode(key: &str, value: &[u8]) -> Result<Self, RootError> {
+        decode(key, value)
+    }
+
+    /// Writes the stored form.
+    pub fn encode(&self) -> Vec<u8> {
+        serde_json::to_vec(self).unwrap_or_default()
+    }
+
+    /// Returns the receipt of an operation, if it is still held.
+    pub fn receipt(&self, operation: &str) -> Option<&Receipt> {
+        self.receipts
+            .iter()
+            .rev()
+            .find(|r| r.operation == operation)
+    }
+}
+
 /// A root or shard that cannot be read.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("value of {key} cannot be read: {message}")]
@@ -80,14 +121,6 @@
         serde_json::to_vec(self).unwrap_or_default()
     }
 
-    /// Returns the receipt of an operation, if it is still held.
-    pub fn receipt(&self, operation: &str) -> Option<&Receipt> {
-        self.receipts
-            .iter()
-            .rev()
-            .find(|r| r.operation == operation)
-    }
-
     /// Returns the revision as a typed value.
     pub fn revision(&self) -> Revision {
         Revision(self.revision)
@@ -129,10 +162,24 @@
 
 /// Returns the name of the shard that holds an object.
 pub fn shard_of(key: &ObjectKey) -> String {
-    let number = stable_hash(key.name.as_bytes()) % SHARDS_PER_KIND;
+    let shards = match key.kind {
+        Kind::Customer | Kind::BackendServer => SHARDS_OF_LARGE_KIND,
+        Kind::Service | Kind::ModelVersion => 1,
+    };
+    let number = stable_hash(key.name.as_bytes()) % shards;
     format!("{}-{number}", key.kind.as_str())
 }
 
+/// Returns the store key of a shard.
+pub fn shard_key(name: &str, version: &PageVersion) -> String {
+    format!("cactusbarrow/shards/{name}/{}", version.0)
+}
+
+/// Returns the store key of a history page.
+pub fn history_key(version: &PageVersion) -> String {
+    format!("cactusbarrow/history/{}", version.0)
+}
+
 fn decode<T: serde::de::DeserializeOwned>(key: &str, value: &[u8]) -> Result<T, RootError> {
     serde_json::from_slice(value).map_err(|e| RootError {
         key: key.to_owned(),
--- a/crates/cactusbarrow_platform/src/plan.rs
+++ b/crates/cactusbarrow_platform/src/plan.rs
@@ -6,11 +6,16 @@
 use cactusbarrow_document::{Fault, Object, ObjectKey, validate};
 use cactusbarrow_policy::{Digest, Revision, stable_hash};
 
-use crate::layout::{Deletion, Receipt, Root, Shard, ShardRef, StoredObject, shard_of};
+use crate::layout::{
+    Deletion, History, PageVersion, Receipt, RecentChange, Root, Shard, StoredObject, history_key,
+    shard_key, shard_of,
+};
 
 const MAX_RECEIPTS: usize = 256;
 const MAX_DELETIONS: usize = 256;
 const MAX_RETIRED: usize = 32;
+/// Size of the changes that the root itself holds.
+const MAX_RECENT_BYTES: usize = 1_500;
 /// Largest value that the store holds, less a margin.
 const MAX_VALUE_BYTES: usize = 1_000_000;
 
@@ -135,10 +140,10 @@
     Replayed(Receipt),
     /// The configuration is already as asked.
     Unchanged(Revision),
-    /// New shards, then the root that names them.
+    /// New pages, then the root that names them.
     Write {
-        /// Store keys and values of the new shards.
-        shards: Vec<(String, Vec<u8>)>,
+        /// Store keys and values of the new shards and of the history.
+        pages: Vec<(String, Vec<u8>)>,
         /// The new root.
         root: Box<Root>,
         /// Store keys that no reader needs any more.
@@ -149,11 +154,12 @@
 /// Plans a change against the configuration in force.
 pub fn plan_commit(
     root: &Root,
+    history: &History,
     shards: &BTreeMap<String, Shard>,
     req: &CommitRequest,
 ) -> Result<Plan, PlanError> {
     let request_hash = req.request_hash();
-    if let Some(receipt) = root.receipt(&req.operation) {
+    if let Some(receipt) = history.receipt(&req.operation) {
         let revision = Revision(receipt.revision);
         return if receipt.request_hash == request_hash {
             Ok(Plan::Replayed(receipt.clone()))
@@ -165,8 +171,8 @@
         let revision = root.revision();
         return Err(PlanError::BaseFromFuture { revision });
     }
-    check_moved(root, shards, req)?;
-    let mut next = Next::new(root, shards);
+    check_moved(root, history, shards, req)?;
+    let mut next = Next::new(root, history, shards);
     for edit in &req.edits {
         next.apply(edit);
     }
@@ -177,7 +183,7 @@
     if !faults.is_empty() {
         return Err(PlanError::Invalid(faults));
     }
-    next.root.receipts.push(Receipt {
+    next.history.receipts.push(Receipt {
         operation: req.operation.clone(),
         request_hash,
         revision: next.root.revision,
@@ -187,6 +193,7 @@
 
 fn check_moved(
     root: &Root,
+    history: &History,
     shards: &BTreeMap<String, Shard>,
     req: &CommitRequest,
 ) -> Result<(), PlanError> {
@@ -198,7 +205,7 @@
             let object = key.to_string();
             let stored = shards.get(&shard_of(&key));
             let set = stored.and_then(|shard| Some(shard.objects.get(&object)?.revision));
-            let deleted = root.deletions.iter().rev().find(|d| d.object == object);
+            let deleted = history.deletions.iter().rev().find(|d| d.object == object);
             let revision = set.max(deleted.map(|d| d.revision))?;
             (revision > req.base.0).then_some(Moved { object, revision })
         })
@@ -214,16 +221,18 @@
 
 struct Next {
     root: Root,
+    history: History,
     shards: BTreeMap<String, Shard>,
     touched: BTreeSet<String>,
 }
 
 impl Next {
-    fn new(root: &Root, shards: &BTreeMap<String, Shard>) -> Self {
+    fn new(root: &Root, history: &History, shards: &BTreeMap<String, Shard>) -> Self {
         let mut root = root.clone();
         root.revision += 1;
         Self {
             root,
+            history: history.clone(),
             shards: shards.clone(),
             touched: BTreeSet::new(),
         }
@@ -255,7 +264,7 @@
             }
             Edit::Delete(_) => {
                 shard.objects.remove(&name);
-                self.root.deletions.push(Deletion {
+                self.history.deletions.push(Deletion {
                     object: name.clone(),
                     revision,
                 });
@@ -264,6 +273,14 @@
         if let Some(old) = old_revision {
             self.toggle(&name, old);
         }
+        self.root.recent.push(RecentChange {
+            key: name,
+            revision,
+            object: match edit {
+                Edit::Set(object) => Some(object.clone()),
+                Edit::Delete(_) => None,
+            },
+        });
         self.touched.insert(shard_name);
     }
 
@@ -272,35 +289,52 @@
     }
 
     fn finish(mut self, operation: &str) -> Result<Plan, PlanError> {
+        let version = PageVersion(format!("{}-{operation}", self.root.revision));
         let mut written = Vec::new();
         for name in &self.touched {
-            let shard = &self.shards[name];
-            let value = shard.encode();
+            let value = self.shards[name].encode();
             if value.len() > MAX_VALUE_BYTES {
                 return Err(PlanError::TooLarge {
                     shard: name.clone(),
                 });
             }
-            let key = format!(
-                "cactusbarrow/shards/{name}/{}-{operation}",
-                self.root.revision
-            );
-            let old = self
-                .root
-                .shards
-                .insert(name.clone(), ShardRef { key: key.clone() });
-            self.root.retired.extend(old.map(|old| old.key));
-            written.push((key, value));
+            written.push((shard_key(name, &version), value));
+            let old = self.root.shards.insert(name.clone(), version.clone());
+            let old = old.map(|old| shard_key(name, &old));
+            self.history.retired.extend(old);
+        }
+        let old_history = std::mem::replace(&mut self.root.history, version.clone());
+        if !old_history.0.is_empty() {
+            self.history.retired.push(history_key(&old_history));
         }
-        keep_last(&mut self.root.receipts, MAX_RECEIPTS);
-        keep_last(&mut self.root.deletions, MAX_DELETIONS);
-        let garbage = keep_last(&mut self.root.retired, MAX_RETIRED);
+        keep_last(&mut self.history.receipts, MAX_RECEIPTS);
+        keep_last(&mut self.history.deletions, MAX_DELETIONS);
+        let garbage = keep_last(&mut self.history.retired, MAX_RETIRED);
+        written.push((history_key(&version), self.history.encode()));
+        self.trim_recent();
         Ok(Plan::Write {
-            shards: written,
+            pages: written,
             root: Box::new(self.root),
             garbage,
         })
     }
+
+    /// Drops the oldest revisions of the recent changes beyond their size.
+    fn trim_recent(&mut self) {
+        let recent = &mut self.root.recent;
+        let size = |changes: &[RecentChange]| {
+            let object = |c: &RecentChange| c.object.as_ref().map_or(0, |o| o.to_json().len());
+            changes
+                .iter()
+                .map(|c| c.key.len() + object(c))
+                .sum::<usize>()
+        };
+        while size(recent) > MAX_RECENT_BYTES {
+            let oldest = recent[0].revision;
+            recent.retain(|change| change.revision > oldest);
+            self.root.recent_after = oldest;
+        }
+    }
 }
 
 /// Keeps the last `count` items and returns the others.
--- a/crates/cactusbarrow_platform/tests/commits.rs
+++ b/crates/cactusbarrow_platform/tests/commits.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use cactusbarrow_document::{Customer, ModelVersion, Object, hash_api_key};
 use cactusbarrow_platform::{
-    CommitError, CommitRequest, ConfigReader, Edit, Plan, PlanError, Root, Shard, Store,
+    CommitError, CommitRequest, ConfigReader, Edit, History, Plan, PlanError, Root, Shard, Store,
     StoreError, Versioned, commit, plan_commit,
 };
 use cactusbarrow_policy::{Adoption, Revision};
@@ -179,11 +179,12 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_lost_answer_is_settled_by_reading_back() {
-    // The fates are taken from the end: the shard's write, then the root's swap.
-    let store = FakeStore::with_fates(vec![Fate::AnswerLost, Fate::Answered]);
+    // The fates are taken from the end: two pages' writes, then the root's swap.
+    let answered = Fate::Answered;
+    let store = FakeStore::with_fates(vec![Fate::AnswerLost, answered, answered]);
     let done = commit(&store, &set("op-1", 0, "v1", "a")).await.unwrap();
     assert_eq!(done.revision, Revision(1));
-    let store = FakeStore::with_fates(vec![Fate::Refused, Fate::Answered]);
+    let store = FakeStore::with_fates(vec![Fate::Refused, answered, answered]);
     let done = commit(&store, &set("op-1", 0, "v1", "a")).await.unwrap();
     assert_eq!(
         done.revision,
@@ -208,6 +209,27 @@
     assert!(store.state.lock().unwrap().values.is_empty());
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_watcher_reads_no_shard_for_a_recent_change() {
+    let store = FakeStore::default();
+    commit(&store, &set("op-1", 0, "v1", "a")).await.unwrap();
+    let mut reader = ConfigReader::new();
+    let whole = reader.next(&store, Duration::ZERO).await.unwrap().unwrap();
+    assert_eq!(whole.from, Revision(0));
+    commit(&store, &set("op-2", 1, "v2", "b")).await.unwrap();
+    commit(&store, &set("op-3", 2, "v1", "c")).await.unwrap();
+    let is_page = |key: &str| key.starts_with("cactusbarrow/shards/");
+    let mut state = store.state.lock().unwrap();
+    state.values.retain(|key, _| !is_page(key));
+    drop(state);
+    let delta = reader.next(&store, Duration::ZERO).await.unwrap().unwrap();
+    assert_eq!((delta.from, delta.to), (Revision(1), Revision(3)));
+    assert_eq!(delta.changes.len(), 2);
+    let mut adoption = Adoption::new();
+    assert_eq!(adoption.adopt(&whole), Ok(true));
+    assert_eq!(adoption.adopt(&delta), Ok(true), "the digest fits");
+}
+
 fn fixed() -> Config {
     Config {
         cases: 200,
@@ -290,29 +312,37 @@
 #[test]
 fn receipts_are_bounded() {
     let mut root = Root::default();
+    let mut history = History::default();
     let mut shards: BTreeMap<String, Shard> = BTreeMap::new();
     for i in 0..400_u64 {
         let req = set(&format!("op-{i}"), root.revision, "v1", &i.to_string());
-        let plan = plan_commit(&root, &shards, &req).unwrap();
+        let plan = plan_commit(&root, &history, &shards, &req).unwrap();
         let Plan::Write {
-            root: next,
-            shards: written,
-            ..
+            root: next, pages, ..
         } = plan
         else {
             panic!("a change writes");
         };
         root = *next;
-        for (key, value) in written {
+        for (key, value) in pages {
+            if key.starts_with("cactusbarrow/history/") {
+                history = History::decode(&key, &value).unwrap();
+                continue;
+            }
             let name = key.split('/').nth(2).unwrap().to_owned();
             shards.insert(name, Shard::decode(&key, &value).unwrap());
         }
     }
     assert!(
-        root.encode().len() < 64 << 10,
+        root.encode().len() < 4 << 10,
         "{} bytes",
         root.encode().len()
     );
-    assert!(root.receipt("op-399").is_some());
-    assert!(root.receipt("op-1").is_none());
+    assert!(
+        history.encode().len() < 64 << 10,
+        "{} bytes",
+        history.encode().len()
+    );
+    assert!(history.receipt("op-399").is_some());
+    assert!(history.receipt("op-1").is_none());
 }
