--- a/crates/cactusbarrow_platform/tests/commits.rs
+++ b/crates/cactusbarrow_platform/tests/commits.rs
@@ -41,6 +41,12 @@
         store
     }
 
+    fn remove_shards(&self) {
+        let is_shard = |key: &str| key.starts_with("cactusbarrow/shards/");
+        let mut state = self.state.lock().unwrap();
+        state.values.retain(|key, _| !is_shard(key));
+    }
+
     fn write(&self, key: &str, f: impl FnOnce(&mut FakeState) -> bool) -> Result<bool, StoreError> {
         let mut state = self.state.lock().unwrap();
         let fate = state.fates.pop().unwrap_or(Fate::Answered);
@@ -218,10 +224,7 @@
     assert_eq!(whole.from, Revision(0));
     commit(&store, &set("op-2", 1, "v2", "b")).await.unwrap();
     commit(&store, &set("op-3", 2, "v1", "c")).await.unwrap();
-    let is_page = |key: &str| key.starts_with("cactusbarrow/shards/");
-    let mut state = store.state.lock().unwrap();
-    state.values.retain(|key, _| !is_page(key));
-    drop(state);
+    store.remove_shards();
     let delta = reader.next(&store, Duration::ZERO).await.unwrap().unwrap();
     assert_eq!((delta.from, delta.to), (Revision(1), Revision(3)));
     assert_eq!(delta.changes.len(), 2);
