--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -374,3 +374,29 @@
     let end = read_rest(router, &[], &body(9), &mut transcript).await;
     assert_eq!(end, StreamEnd::Done);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_without_its_version_is_ordered_to_load_it() {
+    let mut cfg = ClusterConfig {
+        routers: 1,
+        engines: 1,
+        zones: 1,
+        ..ClusterConfig::default()
+    };
+    cfg.engine.model_version = None;
+    let cluster = Cluster::start(cfg).await;
+    let router = cluster.routers[0].handle.listen;
+    let stats = &cluster.engines[0].backend.stats;
+    while stats.loads.load(Ordering::Relaxed) == 0 {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let mut transcript = Transcript::default();
+    let end = read_rest(router, &[], &body(10), &mut transcript).await;
+    assert_eq!(end, StreamEnd::Done);
+    judge(&cluster, 10, &transcript);
+    assert_eq!(
+        stats.loads.load(Ordering::Relaxed),
+        1,
+        "one order is enough"
+    );
+}
