Serve callers of the users' platform by a gateway without agents

Cause: the users' platform has engines that refuse other instances and state what they did not execute, a store with the operators' configuration, and no host for control; the router, the agent and their claims do not speak to it.

A gateway on entry hosts calls backend servers directly. platform/ decodes settings, store, entries, configuration and headers; decisions are in cactusbarrow_policy (fleet, heartbeat, call plan, resume plan, routes).

Ruled out: a process beside each engine (billed, and engines report for themselves); kept connections to backend servers (late answers of other requests arrive on them, and a fresh one tells whether the server is there).

--- a/crates/cactusbarrow_daemon/src/flags.rs
+++ b/crates/cactusbarrow_daemon/src/flags.rs
@@ -19,5 +19,12 @@
             /// Check the settings and exit.
             optional --check
         }
+        /// Run a gateway on an entry host of the users' platform.
+        cmd gateway {
+            /// File with the platform's settings, in YAML; the platform names it if absent.
+            optional --settings file: PathBuf
+            /// Check the settings and exit.
+            optional --check
+        }
     }
 }
--- a/crates/cactusbarrow_daemon/src/logs.rs
+++ b/crates/cactusbarrow_daemon/src/logs.rs
@@ -1,4 +1,4 @@
-//! Logs as JSON lines on standard error.
+//! Logs as JSON lines.
 
 use std::time::{SystemTime, UNIX_EPOCH};
 
@@ -6,14 +6,18 @@
 use serde_json::{Map, Value as Json};
 
 /// Starts logging; fails if it was started before.
-pub(crate) fn start(process: String, level: log::LevelFilter) -> anyhow::Result<()> {
+pub(crate) fn start(
+    process: String,
+    level: log::LevelFilter,
+    output: impl Into<fern::Output>,
+) -> anyhow::Result<()> {
     fern::Dispatch::new()
         .level(level)
         .format(move |out, message, record| {
             let line = line_of(&process, &message.to_string(), record, SystemTime::now());
             out.finish(format_args!("{line}"));
         })
-        .chain(std::io::stderr())
+        .chain(output)
         .apply()?;
     Ok(())
 }
--- a/crates/cactusbarrow_daemon/src/run.rs
+++ b/crates/cactusbarrow_daemon/src/run.rs
@@ -13,6 +13,7 @@
 
 use crate::admin::{self, Status};
 use crate::flags::{Cactusbarrowd, CactusbarrowdCmd};
+use crate::gateway;
 use crate::logs;
 use crate::settings::{AgentSettings, RouterSettings, read_settings};
 
@@ -54,6 +55,12 @@
                 return block_on(run_agent(settings));
             }
         }
+        CactusbarrowdCmd::Gateway(cmd) => {
+            let (file, settings) = gateway::read_settings(cmd.settings)?;
+            if !is_check_only(&file, cmd.check) {
+                return gateway::run(&file, settings);
+            }
+        }
     }
     Ok(true)
 }
@@ -75,7 +82,11 @@
 }
 
 async fn run_router(settings: RouterSettings) -> anyhow::Result<bool> {
-    logs::start(settings.name.clone(), settings.log_level.into())?;
+    logs::start(
+        settings.name.clone(),
+        settings.log_level.into(),
+        std::io::stderr(),
+    )?;
     let metrics = admin::start_metrics()?;
     let shutdown = CancellationToken::new();
     let store = ConsulStore::new(settings.store);
@@ -112,7 +123,11 @@
 }
 
 async fn run_agent(settings: AgentSettings) -> anyhow::Result<bool> {
-    logs::start(settings.name.clone(), settings.log_level.into())?;
+    logs::start(
+        settings.name.clone(),
+        settings.log_level.into(),
+        std::io::stderr(),
+    )?;
     let metrics = admin::start_metrics()?;
     let shutdown = CancellationToken::new();
     let cfg = settings.to_config();
--- /dev/null
+++ b/crates/cactusbarrow_gateway/src/answers.rs
@@ -0,0 +1,69 @@
+//! Answers of the gateway itself.
+
+use std::time::Duration;
+
+use cactusbarrow_adapter::{REQUEST_ID, mark_retry_after};
+use cactusbarrow_net::Body;
+use cactusbarrow_policy::{Outcome, Reason};
+use http::{HeaderValue, Response, StatusCode};
+
+/// An answer without a backend server's part in it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Refusal {
+    pub(crate) status: StatusCode,
+    pub(crate) outcome: Outcome,
+    pub(crate) reason: Reason,
+    /// When the caller may come back.
+    pub(crate) retry_after: Option<Duration>,
+}
+
+impl Refusal {
+    /// Creates the answer to a request that is wrong in itself.
+    pub(crate) fn rejected(status: StatusCode, reason: Reason) -> Self {
+        Self {
+            status,
+            outcome: Outcome::Failed,
+            reason,
+            retry_after: None,
+        }
+    }
+
+    /// Creates the answer to a request that was not run and never will be.
+    pub(crate) fn not_run(reason: Reason, retry_after: Duration) -> Self {
+        Self {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            outcome: Outcome::NotRun,
+            reason,
+            retry_after: Some(retry_after),
+        }
+    }
+
+    /// Creates the answer to a request that may have run.
+    pub(crate) fn unknown(reason: Reason) -> Self {
+        let status = if reason == Reason::RouteTimeout {
+            StatusCode::GATEWAY_TIMEOUT
+        } else {
+            StatusCode::BAD_GATEWAY
+        };
+        Self {
+            status,
+            outcome: Outcome::Unknown,
+            reason,
+            retry_after: None,
+        }
+    }
+
+    /// Encodes the answer.
+    pub(crate) fn respond(&self, request_id: &str) -> Response<Body> {
+        let text = format!("{}: {}\n", self.outcome, self.reason);
+        let mut res = Response::new(Body::full(text));
+        *res.status_mut() = self.status;
+        if let Ok(id) = HeaderValue::try_from(request_id) {
+            res.headers_mut().insert(REQUEST_ID, id);
+        }
+        if let Some(wait) = self.retry_after {
+            mark_retry_after(res.headers_mut(), wait);
+        }
+        res
+    }
+}
--- /dev/null
+++ b/crates/cactusbarrow_gateway/src/generation/course.rs
@@ -0,0 +1,304 @@
+//! The course of one generation over all its attempts.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use cactusbarrow_adapter::{EngineAnswer, Resume};
+use cactusbarrow_net::{Clock, RawEvent};
+use cactusbarrow_policy::{
+    BackendEntry, BackendKey, BackendWork, Outcome, Reason, ResumeAction, ResumeEvent, ResumePlan,
+    Start,
+};
+use http::HeaderMap;
+
+use super::attempt::{Attempt, Opened, Received, Target};
+use crate::request::Admitted;
+
+/// Wait that a caller is told when no engine takes its generation.
+const FULL_RETRY: Duration = Duration::from_millis(500);
+
+/// Waits for the first event at a live engine, in latency objectives.
+const FIRST_EVENT_OBJECTIVES: u32 = 2;
+
+/// Pauses between events at a live engine, in tolerated pauses.
+const STALL_PAUSES: u32 = 2;
+
+/// Tolerated pause where the route states none.
+const DEFAULT_PAUSE: Duration = Duration::from_secs(1);
+
+/// What a generation brings its caller next.
+pub(crate) enum Step {
+    /// The next event.
+    Event(Bytes),
+    /// The generation is complete.
+    End,
+    /// An engine's answer that is no stream.
+    Answer(EngineAnswer, Bytes),
+    /// There is nothing more.
+    Refused {
+        /// Whether the generation may have run.
+        outcome: Outcome,
+        /// Why.
+        reason: Reason,
+    },
+}
+
+/// A generation, its plan and its present attempt.
+pub(crate) struct Course<C: Clock> {
+    req: Admitted<C>,
+    plan: ResumePlan,
+    next_start: Start,
+    attempt: Option<Attempt<C>>,
+    head: Option<HeaderMap>,
+    last_event: Option<u64>,
+    engines: u64,
+    event_at: Option<Instant>,
+    longest_pause: Duration,
+}
+
+impl<C: Clock> Course<C> {
+    pub(crate) fn new(req: Admitted<C>, can_resume: bool) -> Self {
+        Self {
+            plan: ResumePlan::new(can_resume, req.attempts),
+            next_start: Start::ReadPrompt,
+            attempt: None,
+            head: None,
+            last_event: req.caller.last_event_id,
+            engines: 0,
+            event_at: None,
+            longest_pause: Duration::ZERO,
+            req,
+        }
+    }
+
+    pub(crate) fn request_id(&self) -> &str {
+        &self.req.caller.request_id
+    }
+
+    pub(crate) fn last_event(&self) -> u64 {
+        self.last_event.unwrap_or(0)
+    }
+
+    pub(crate) fn engines(&self) -> u64 {
+        self.engines
+    }
+
+    pub(crate) fn longest_pause_ms(&self) -> u64 {
+        self.longest_pause.as_millis() as u64
+    }
+
+    pub(crate) fn elapsed_ms(&self) -> u64 {
+        self.req.shared.elapsed_since(self.req.arrived).as_millis() as u64
+    }
+
+    pub(crate) fn retry_after(&self) -> Duration {
+        FULL_RETRY
+    }
+
+    /// Returns the head of the first engine that delivered an event.
+    pub(crate) fn take_head(&mut self) -> HeaderMap {
+        self.head.take().unwrap_or_default()
+    }
+
+    /// Waits for the next step, over as many engines as it takes.
+    pub(crate) async fn next(&mut self) -> Step {
+        loop {
+            if self.req.time_left().is_zero() {
+                return self.refused(Reason::RouteTimeout);
+            }
+            let Some(attempt) = &mut self.attempt else {
+                match self.start().await {
+                    Some(step) => return step,
+                    None => continue,
+                }
+            };
+            let patience = match self.event_at {
+                None => self.req.objective * FIRST_EVENT_OBJECTIVES,
+                Some(_) => self.req.pause_objective.unwrap_or(DEFAULT_PAUSE) * STALL_PAUSES,
+            };
+            let until = (self.req.shared.now() + patience).min(self.req.deadline);
+            let event = match attempt.next(until).await {
+                Received::Event(event) => match self.accept(event) {
+                    Ok(bytes) => return Step::Event(bytes),
+                    Err(event) => event,
+                },
+                Received::End => {
+                    self.keep_head();
+                    return Step::End;
+                }
+                Received::Ended(event) => event,
+            };
+            self.attempt = None;
+            if let Some(step) = self.decide(event) {
+                return step;
+            }
+        }
+    }
+
+    /// Takes an event if it follows the last one.
+    fn accept(&mut self, event: RawEvent) -> Result<Bytes, ResumeEvent> {
+        if let Some(id) = event.id {
+            let expected = self.last_event.map_or(id, |last| last + 1);
+            if id != expected {
+                log::warn!(
+                    request_id = self.request_id(),
+                    expected = expected,
+                    received = id;
+                    "event does not follow the one before"
+                );
+                return Err(ResumeEvent::Broken);
+            }
+            self.last_event = Some(id);
+        }
+        let now = self.req.shared.now();
+        if let Some(at) = self.event_at.replace(now) {
+            self.longest_pause = self.longest_pause.max(now.saturating_duration_since(at));
+        } else {
+            self.keep_head();
+        }
+        Ok(event.bytes)
+    }
+
+    fn keep_head(&mut self) {
+        if let Some(attempt) = &self.attempt
+            && self.event_at.is_none() | self.head.is_none()
+        {
+            self.head = Some(attempt.head.headers.clone());
+        }
+    }
+
+    /// Starts the next attempt; returns a step if there will be none.
+    async fn start(&mut self) -> Option<Step> {
+        let Some(target) = self.target() else {
+            return Some(self.refused(Reason::NoBackend));
+        };
+        self.engines += 1;
+        log::info!(
+            request_id = self.request_id(),
+            instance = &*target.entry.instance,
+            peer:% = target.entry.address,
+            zone = &*target.entry.zone,
+            copy = target.copy.as_ref().map_or("none", |(_, entry)| &*entry.instance),
+            from_copy = target.resume.is_some(),
+            last_event = self.last_event(),
+            attempt = self.engines,
+            elapsed_ms = self.elapsed_ms();
+            "generation placed"
+        );
+        let copy = target.copy.as_ref().map(|(key, _)| *key);
+        self.plan.record_start(target.key, copy);
+        let timeout = self
+            .req
+            .time_left()
+            .min(self.req.objective * FIRST_EVENT_OBJECTIVES);
+        let event = match Attempt::open(&self.req, target, self.last_event, timeout).await {
+            Opened::Streaming(attempt) => {
+                self.attempt = Some(attempt);
+                return None;
+            }
+            Opened::Answered(head, body) => {
+                let event = if head.status.is_server_error() {
+                    ResumeEvent::Failed
+                } else {
+                    ResumeEvent::Rejected
+                };
+                let step = self.decide(event);
+                return match step {
+                    Some(Step::Refused { .. }) if self.event_at.is_none() => {
+                        Some(Step::Answer(head, body))
+                    }
+                    step => step,
+                };
+            }
+            Opened::Ended(event) => event,
+        };
+        self.decide(event)
+    }
+
+    /// Asks the plan what follows the end of an attempt.
+    fn decide(&mut self, event: ResumeEvent) -> Option<Step> {
+        let has_budget = self.req.shared.try_retry(&self.req.service);
+        let action = self.plan.decide(event, has_budget);
+        metrics::counter!("gateway_retries_total", "kind" => "generation", "reason" => event.reason().as_str())
+            .increment(1);
+        log::info!(
+            request_id = self.request_id(),
+            cause = event.reason().as_str(),
+            last_event = self.last_event(),
+            action:? = action,
+            elapsed_ms = self.elapsed_ms();
+            "attempt of a generation ended"
+        );
+        match action {
+            ResumeAction::Start(start) => {
+                self.next_start = start;
+                None
+            }
+            ResumeAction::Deliver => Some(self.refused(event.reason())),
+            ResumeAction::Refuse { outcome, reason } => Some(Step::Refused { outcome, reason }),
+        }
+    }
+
+    fn refused(&self, reason: Reason) -> Step {
+        match self.plan.refuse(reason) {
+            ResumeAction::Refuse { outcome, reason } => Step::Refused { outcome, reason },
+            ResumeAction::Start(_) | ResumeAction::Deliver => Step::Refused {
+                outcome: Outcome::Unknown,
+                reason,
+            },
+        }
+    }
+
+    /// Chooses where the next attempt runs and which engine keeps its copy.
+    fn target(&self) -> Option<Target> {
+        let shared = &self.req.shared;
+        let now = shared.now();
+        let fleet = shared.fleet();
+        let rng = &mut *shared.rng();
+        let capacity = self.req.spec.kv_capacity;
+        let work = self.work();
+        let service = &*self.req.service;
+        let excluded = self.plan.excluded();
+        let entry_of = |key: BackendKey| -> Option<(BackendKey, BackendEntry)> {
+            Some((key, fleet.get(key)?.entry.clone()))
+        };
+        let holder = match self.next_start {
+            Start::ReadPrompt => None,
+            Start::FromCopy(holder) => entry_of(holder),
+        };
+        let resume = holder.as_ref().map(|(_, entry)| Resume {
+            holder: entry.address,
+            copy: self.request_id().to_owned(),
+        });
+        let (key, entry) = match holder {
+            Some(holder) => holder,
+            None => fleet
+                .choose_engine(service, capacity, work, excluded, now, rng)
+                .and_then(entry_of)?,
+        };
+        let copy = if self.req.spec.has_backups {
+            let mut excluded = excluded.to_vec();
+            excluded.push(key);
+            fleet
+                .choose_copy_holder(key, capacity, work, &excluded, now, rng)
+                .and_then(entry_of)
+        } else {
+            None
+        };
+        Some(Target {
+            key,
+            entry,
+            copy,
+            resume,
+            work,
+        })
+    }
+
+    fn work(&self) -> BackendWork {
+        let caller = &self.req.caller;
+        BackendWork {
+            prompt_tokens: caller.prompt_tokens,
+            memory_tokens: caller.prompt_tokens + caller.output_tokens,
+        }
+    }
+}
--- /dev/null
+++ b/crates/cactusbarrow_gateway/src/health_check.rs
@@ -0,0 +1,22 @@
+//! Answers the health checks of the platform's balancer.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use cactusbarrow_net::{Body, Clock};
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+
+use crate::shared::Shared;
+
+/// Answers 200 while the gateway can serve.
+pub(crate) async fn answer<C: Clock>(
+    shared: Arc<Shared<C>>,
+    _req: Request<Incoming>,
+) -> Result<Response<Body>, Infallible> {
+    let mut res = Response::new(Body::Empty);
+    if !shared.is_ready() {
+        *res.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    Ok(res)
+}
--- /dev/null
+++ b/crates/cactusbarrow_gateway/src/listener.rs
@@ -0,0 +1,89 @@
+//! Accepts connections and drains them at the end.
+
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cactusbarrow_net::{Body, Clock};
+use http::{Request, Response};
+use hyper::body::Incoming;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::connection::{self, ConnectionLimits};
+use crate::shared::Shared;
+
+/// Wait after a failed accept, for instance when descriptors run out.
+const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+
+/// Limits before the first configuration is known.
+const DEFAULT_HEADER_BYTES: usize = 16 << 10;
+const DEFAULT_IDLE: Duration = Duration::from_secs(15);
+
+/// Tokens that end a listener.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ListenerStop {
+    /// Ends connections after the request in flight.
+    pub(crate) drain: CancellationToken,
+    /// Ends the listener.
+    pub(crate) stop: CancellationToken,
+}
+
+/// Accepts connections until `stop`; tasks of connections are tracked.
+pub(crate) async fn run<C, H, F>(
+    listener: TcpListener,
+    shared: Arc<Shared<C>>,
+    handler: H,
+    stop: ListenerStop,
+    connections: TaskTracker,
+) where
+    C: Clock,
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    loop {
+        let accepted = tokio::select! {
+            () = stop.stop.cancelled() => return,
+            accepted = listener.accept() => accepted,
+        };
+        let (stream, peer) = match accepted {
+            Ok(accepted) => accepted,
+            Err(e) => {
+                log::warn!(step = "accept"; "cannot accept a connection: {e}");
+                tokio::time::sleep(ACCEPT_RETRY).await;
+                continue;
+            }
+        };
+        if let Err(e) = stream.set_nodelay(true) {
+            log::debug!(step = "accept", peer:% = peer; "cannot set no delay: {e}");
+        }
+        let limits = limits(&shared);
+        let conn = connection::serve(
+            stream,
+            shared.clock.clone(),
+            limits,
+            handler.clone(),
+            stop.drain.clone(),
+        );
+        connections.spawn(async move {
+            if let Err(e) = conn.await {
+                log::debug!(step = "serve", peer:% = peer; "connection ended: {e}");
+            }
+        });
+    }
+}
+
+fn limits<C: Clock>(shared: &Arc<Shared<C>>) -> ConnectionLimits {
+    let header_bytes = shared
+        .routes()
+        .map_or(DEFAULT_HEADER_BYTES, |routes| routes.limits.header_bytes);
+    let shared = shared.clone();
+    ConnectionLimits {
+        header_bytes,
+        idle: Box::new(move || {
+            let routes = shared.routes();
+            routes.map_or(DEFAULT_IDLE, |routes| routes.limits.idle_timeout)
+        }),
+    }
+}
--- /dev/null
+++ b/crates/cactusbarrow_gateway/src/request.rs
@@ -0,0 +1,183 @@
+//! Takes a caller's request from its head to its answer.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use cactusbarrow_adapter::CallerRequest;
+use cactusbarrow_net::{Body, Clock, collect_limited};
+use cactusbarrow_policy::{
+    CustomerSpec, LookupError, Reason, RequestKind, Route, RouteSet, ServiceName, ServiceSpec,
+};
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+
+use crate::answers::Refusal;
+use crate::shared::Shared;
+use crate::{call, generation};
+
+/// Wait that a caller is told while the gateway cannot serve at all.
+const NOT_READY_RETRY: Duration = Duration::from_millis(250);
+
+/// Wait that a caller is told by a gateway that shuts down; another one serves it.
+const SHUTDOWN_RETRY: Duration = Duration::from_millis(50);
+
+/// Longest wait for an answer where the caller states none.
+const DEFAULT_PATIENCE: Duration = Duration::from_secs(60);
+
+/// A request with all that was decided about it before it is sent anywhere.
+pub(crate) struct Admitted<C> {
+    pub(crate) shared: Arc<Shared<C>>,
+    pub(crate) caller: CallerRequest,
+    pub(crate) body: Bytes,
+    pub(crate) kind: RequestKind,
+    pub(crate) attempts: u32,
+    pub(crate) objective: Duration,
+    pub(crate) pause_objective: Option<Duration>,
+    pub(crate) service: ServiceName,
+    pub(crate) spec: ServiceSpec,
+    pub(crate) customer: Option<Arc<str>>,
+    pub(crate) priority: u8,
+    pub(crate) arrived: Instant,
+    /// When the caller stops waiting, or the route's time is over.
+    pub(crate) deadline: Instant,
+}
+
+impl<C: Clock> Admitted<C> {
+    /// Returns the time that is left for the answer.
+    pub(crate) fn time_left(&self) -> Duration {
+        self.deadline.saturating_duration_since(self.shared.now())
+    }
+}
+
+/// Serves one request.
+pub(crate) async fn serve<C: Clock>(
+    shared: Arc<Shared<C>>,
+    req: Request<Incoming>,
+) -> Response<Body> {
+    let arrived = shared.now();
+    let (parts, body) = req.into_parts();
+    let caller = match CallerRequest::decode(parts) {
+        Ok(caller) => caller,
+        Err(e) => {
+            log::info!(reason = Reason::BadRequest.as_str(); "request rejected: {e}");
+            return Refusal::rejected(StatusCode::BAD_REQUEST, Reason::BadRequest).respond("");
+        }
+    };
+    let request_id = caller.request_id.clone();
+    let admitted = match admit(&shared, caller, body, arrived).await {
+        Ok(admitted) => admitted,
+        Err(refusal) => {
+            count_refusal("none", &refusal);
+            log::info!(
+                request_id = request_id.as_str(),
+                status = refusal.status.as_u16(),
+                outcome = refusal.outcome.as_str(),
+                reason = refusal.reason.as_str();
+                "request refused on arrival"
+            );
+            return refusal.respond(&request_id);
+        }
+    };
+    match admitted.kind {
+        RequestKind::Generation { can_resume } => generation::serve(admitted, can_resume).await,
+        RequestKind::Idempotent | RequestKind::NonIdempotent => call::serve(admitted).await,
+    }
+}
+
+/// Counts a refusal by kind of request and reason.
+pub(crate) fn count_refusal(kind: &'static str, refusal: &Refusal) {
+    metrics::counter!(
+        "gateway_refusals_total",
+        "kind" => kind,
+        "reason" => refusal.reason.as_str(),
+        "outcome" => refusal.outcome.as_str(),
+    )
+    .increment(1);
+}
+
+async fn admit<C: Clock>(
+    shared: &Arc<Shared<C>>,
+    caller: CallerRequest,
+    body: Incoming,
+    arrived: Instant,
+) -> Result<Admitted<C>, Refusal> {
+    let Some(routes) = shared.routes() else {
+        return Err(Refusal::not_run(Reason::NoConfiguration, NOT_READY_RETRY));
+    };
+    let (route, customer) = look_up(&routes, &caller)?;
+    if !*shared.is_open.borrow() && matches!(route.kind, RequestKind::Generation { .. }) {
+        return Err(Refusal::not_run(Reason::ShuttingDown, SHUTDOWN_RETRY));
+    }
+    let service = route.draw_service(&mut *shared.rng()).cloned();
+    let service =
+        service.ok_or_else(|| Refusal::not_run(Reason::NoSuchService, NOT_READY_RETRY))?;
+    let patience = caller.patience.unwrap_or(DEFAULT_PATIENCE);
+    let deadline = arrived + patience.min(route.timeout);
+    let body = read_body(shared, &routes, body, deadline, &caller.request_id).await?;
+    let priority = customer.and_then(|customer| customer.priority);
+    Ok(Admitted {
+        shared: shared.clone(),
+        caller,
+        body,
+        kind: route.kind,
+        attempts: route.attempts,
+        objective: route.objective,
+        pause_objective: route.pause_objective,
+        spec: routes.services.get(&service).cloned().unwrap_or_default(),
+        service,
+        customer: customer.map(|customer| customer.name.clone()),
+        priority: priority.unwrap_or(route.priority).min(9) as u8,
+        arrived,
+        deadline,
+    })
+}
+
+fn look_up<'a>(
+    routes: &'a RouteSet,
+    caller: &CallerRequest,
+) -> Result<(&'a Route, Option<&'a CustomerSpec>), Refusal> {
+    let found = routes.look_up(&caller.host, caller.path(), caller.key.as_deref());
+    found.map_err(|e| {
+        log::info!(
+            request_id = caller.request_id.as_str(),
+            version = routes.version.0,
+            host = caller.host.as_str(),
+            path = caller.path();
+            "request has no place in the configuration: {e:?}"
+        );
+        match e {
+            LookupError::NoRoute => Refusal::rejected(StatusCode::NOT_FOUND, Reason::NoSuchService),
+            LookupError::UnknownKey => {
+                Refusal::rejected(StatusCode::UNAUTHORIZED, Reason::Unauthorized)
+            }
+        }
+    })
+}
+
+async fn read_body<C: Clock>(
+    shared: &Shared<C>,
+    routes: &RouteSet,
+    body: Incoming,
+    deadline: Instant,
+    request_id: &str,
+) -> Result<Bytes, Refusal> {
+    let limit = routes.limits.body_bytes;
+    let left = deadline.saturating_duration_since(shared.now());
+    let read = tokio::time::timeout(left, collect_limited(body, limit, "caller")).await;
+    match read {
+        Ok(Ok(Some(body))) => Ok(body),
+        Ok(Ok(None)) => Err(Refusal::rejected(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            Reason::TooLarge,
+        )),
+        Ok(Err(e)) => {
+            log::info!(request_id = request_id, step = e.step; "body not read: {e}");
+            Err(Refusal::rejected(
+                StatusCode::BAD_REQUEST,
+                Reason::BadRequest,
+            ))
+        }
+        Err(_) => Err(Refusal::not_run(Reason::Expired, NOT_READY_RETRY)),
+    }
+}
--- /dev/null
+++ b/crates/cactusbarrow_gateway/src/shared.rs
@@ -0,0 +1,173 @@
+//! State that the tasks of one gateway share, each part under its own lock.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use cactusbarrow_adapter::GatewaySettings;
+use cactusbarrow_net::Clock;
+use cactusbarrow_policy::{
+    BackendFleet, BackendKey, FleetConfig, LossCause, RetryBudget, Revision, RouteSet,
+    RouteSetCell, ServiceName,
+};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+/// Retries that a service may save up; a zone of engines may be lost at any moment.
+const SAVED_RETRIES: f64 = 30.0;
+
+/// Share of the platform's retry budget that the gateways plan with.
+const BUDGET_SHARE: f64 = 0.6;
+
+/// What all tasks of a gateway share.
+pub(crate) struct Shared<C> {
+    pub(crate) settings: GatewaySettings,
+    pub(crate) clock: C,
+    routes: Mutex<RouteSetCell>,
+    routes_version: watch::Sender<Revision>,
+    fleet: Mutex<BackendFleet>,
+    lost: Mutex<HashMap<BackendKey, CancellationToken>>,
+    budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
+    rng: Mutex<StdRng>,
+    /// Set while the gateway takes new work.
+    pub(crate) is_open: watch::Sender<bool>,
+    /// Set once the list of backend servers was read.
+    pub(crate) has_backends: watch::Sender<bool>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    // A panic elsewhere leaves plain data that is still consistent.
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl<C: Clock> Shared<C> {
+    pub(crate) fn new(settings: GatewaySettings, clock: C) -> Arc<Self> {
+        Arc::new(Self {
+            settings,
+            clock,
+            routes: Mutex::default(),
+            routes_version: watch::Sender::new(Revision(0)),
+            fleet: Mutex::new(BackendFleet::new(FleetConfig::default())),
+            lost: Mutex::default(),
+            budgets: Mutex::default(),
+            rng: Mutex::new(StdRng::from_rng(&mut rand::rng())),
+            is_open: watch::Sender::new(true),
+            has_backends: watch::Sender::new(false),
+        })
+    }
+
+    pub(crate) fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    /// Returns the configuration in force.
+    pub(crate) fn routes(&self) -> Option<Arc<RouteSet>> {
+        lock(&self.routes).current().cloned()
+    }
+
+    /// Takes a configuration if it is newer than the one in force.
+    pub(crate) fn offer_routes(&self, set: RouteSet) -> bool {
+        let version = set.version;
+        let is_taken = lock(&self.routes).offer(set);
+        if is_taken {
+            self.routes_version.send_replace(version);
+        }
+        is_taken
+    }
+
+    pub(crate) fn routes_version(&self) -> watch::Receiver<Revision> {
+        self.routes_version.subscribe()
+    }
+
+    pub(crate) fn fleet(&self) -> MutexGuard<'_, BackendFleet> {
+        lock(&self.fleet)
+    }
+
+    pub(crate) fn rng(&self) -> MutexGuard<'_, StdRng> {
+        lock(&self.rng)
+    }
+
+    /// Returns whether the gateway can serve: it knows routes and backend servers and is open.
+    pub(crate) fn is_ready(&self) -> bool {
+        *self.is_open.borrow()
+            && *self.has_backends.borrow()
+            && lock(&self.routes).current().is_some()
+    }
+
+    /// Returns the token that is cancelled when a backend server is taken for lost.
+    pub(crate) fn lost_token(&self, key: BackendKey) -> CancellationToken {
+        lock(&self.lost).entry(key).or_default().clone()
+    }
+
+    /// Takes a backend server for lost, so that all its work goes on elsewhere.
+    pub(crate) fn record_loss(&self, key: BackendKey, cause: LossCause, step: &'static str) {
+        let is_new = self.fleet().record_loss(key, cause, self.now());
+        if is_new {
+            self.announce_loss(key, cause, step);
+        }
+    }
+
+    /// Logs the loss of a backend server and interrupts its work.
+    pub(crate) fn announce_loss(&self, key: BackendKey, cause: LossCause, step: &'static str) {
+        {
+            let fleet = self.fleet();
+            if let Some(backend) = fleet.get(key) {
+                log::warn!(
+                    instance = &*backend.entry.instance,
+                    peer:% = backend.entry.address,
+                    zone = &*backend.entry.zone,
+                    reason = cause.reason().as_str(),
+                    step = step;
+                    "backend server lost"
+                );
+            }
+        }
+        metrics::counter!("gateway_backend_losses_total", "reason" => cause.reason().as_str())
+            .increment(1);
+        // One refused connection does not end the streams that the engine still sends.
+        if cause != LossCause::Refused
+            && let Some(token) = lock(&self.lost).remove(&key)
+        {
+            token.cancel();
+        }
+    }
+
+    /// Records a sign of life.
+    pub(crate) fn record_heard(&self, key: BackendKey) {
+        let mut fleet = self.fleet();
+        if fleet.record_heard(key, self.clock.now())
+            && let Some(backend) = fleet.get(key)
+        {
+            log::info!(
+                instance = &*backend.entry.instance,
+                peer:% = backend.entry.address;
+                "backend server is back"
+            );
+        }
+    }
+
+    /// Records the first attempt of a request for a service.
+    pub(crate) fn record_request(&self, service: &ServiceName) {
+        self.with_budget(service, RetryBudget::record_request);
+    }
+
+    /// Takes one retry from the budget of a service.
+    pub(crate) fn try_retry(&self, service: &ServiceName) -> bool {
+        self.with_budget(service, RetryBudget::try_retry)
+    }
+
+    fn with_budget<T>(&self, service: &ServiceName, f: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        let ratio = self.settings.retry_ratio * BUDGET_SHARE;
+        let mut budgets = lock(&self.budgets);
+        let budget = budgets
+            .entry(service.clone())
+            .or_insert_with(|| RetryBudget::new(ratio, SAVED_RETRIES));
+        f(budget)
+    }
+
+    pub(crate) fn elapsed_since(&self, at: Instant) -> Duration {
+        self.now().saturating_duration_since(at)
+    }
+}
--- a/crates/cactusbarrow_net/src/sse.rs
+++ b/crates/cactusbarrow_net/src/sse.rs
@@ -1,7 +1,7 @@
 //! Decoder for server-sent events.
 
 /// Longest event that is accepted, in bytes.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+pub(crate) const MAX_EVENT_BYTES: usize = 1 << 20;
 
 /// One event.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
--- a/crates/cactusbarrow_policy/src/lib.rs
+++ b/crates/cactusbarrow_policy/src/lib.rs
@@ -9,6 +9,8 @@
 
 mod adoption;
 mod attempt;
+mod backend_fleet;
+mod call_plan;
 mod choose;
 mod claim_page;
 mod claim_shard;
@@ -17,18 +19,26 @@
 mod generation_event;
 mod hash;
 mod health;
+mod heartbeat;
 mod ids;
 mod limits;
 mod orders;
 mod outcome;
 mod queue;
+mod resume_plan;
 mod retry;
+mod route_set;
 mod subset;
 mod suspicion;
 mod text;
 mod tokens;
 
 pub use adoption::{Adoption, Change, ChangeLog, Delta, DeltaError, Digest};
+pub use backend_fleet::{
+    Backend, BackendEntry, BackendFleet, BackendKey, FleetConfig, HeartbeatAction, LossCause,
+    Work as BackendWork,
+};
+pub use call_plan::{CallAction, CallEvent, CallPlan};
 pub use choose::{BackendLoad, Candidate, ChooseConfig, ChooseRequest, ChooseStrategy, LoadTable};
 pub use claim_page::{ClaimEntry, ClaimPage, ClaimPageError, EntryState};
 pub use claim_shard::{
@@ -41,12 +51,18 @@
 };
 pub use hash::{mix, rendezvous_order, rendezvous_weight, stable_hash};
 pub use health::{BackendHealth, HealthConfig};
+pub use heartbeat::{Heartbeat, HeartbeatConfig, HeartbeatStep};
 pub use ids::{AttemptNumber, ClaimNonce, GenerationId, KeyHash, Revision};
 pub use limits::{CustomerLimits, CustomerTable, LimitRefusal};
 pub use orders::{EngineOrders, LoadOrder, OrderConfig};
 pub use outcome::{Outcome, Reason};
 pub use queue::{FairQueue, QueueOrder, Ticket};
+pub use resume_plan::{ResumeAction, ResumeEvent, ResumePlan, Start};
 pub use retry::{Backoff, RetryBudget};
+pub use route_set::{
+    CallerLimits, CustomerSpec, LookupError, RequestKind, Route, RouteSet, RouteSetCell,
+    ServiceName, ServiceSpec,
+};
 pub use subset::{Member, SubsetConfig, select_subset};
 pub use suspicion::{Suspicion, SuspicionConfig};
 pub use text::Utf8Assembler;
--- a/crates/cactusbarrow_policy/src/outcome.rs
+++ b/crates/cactusbarrow_policy/src/outcome.rs
@@ -111,6 +111,22 @@
     NoConfiguration = "no_configuration",
     /// The process is shutting down.
     ShuttingDown = "shutting_down",
+    /// No connection to the backend server came about, so nothing was sent.
+    NotConnected = "not_connected",
+    /// The backend server states that it did not run the request.
+    NotExecuted = "not_executed",
+    /// Another instance has the backend server's address.
+    OtherInstance = "other_instance",
+    /// The answer broke off, or answers another request.
+    BrokenAnswer = "broken_answer",
+    /// The backend server no longer answers heartbeats.
+    Silent = "silent",
+    /// The copy of the generation's memory is not there.
+    CopyMissing = "copy_missing",
+    /// The route's time for an answer is over.
+    RouteTimeout = "route_timeout",
+    /// The caller left before its answer.
+    CallerGone = "caller_gone",
 }
 
 impl fmt::Display for Reason {
