Tell other gateways what is in flight, and place prompts on idle engines

Datagrams carry what each gateway has at each engine, at once when it changes. A running generation now counts as 4,000 unread prompt tokens, since a prompt read beside it holds it up for most of that time. The same datagrams tell versions, and a gateway that the store turns away asks a peer for its knowledge.

Ruled out: engine reports (each is priced and 200 ms old).

--- a/crates/cactusbarrow_gateway/src/generation/attempt.rs
+++ b/crates/cactusbarrow_gateway/src/generation/attempt.rs
@@ -44,8 +44,10 @@
 
 impl<C: Clock> Drop for Place<C> {
     fn drop(&mut self) {
-        let mut fleet = self.shared.fleet();
-        fleet.end_generation(self.key, self.copy, self.work, self.is_prompt_read);
+        self.shared
+            .fleet()
+            .end_generation(self.key, self.copy, self.work, self.is_prompt_read);
+        self.shared.load_changed().notify();
     }
 }
 
@@ -99,6 +101,7 @@
         shared
             .fleet()
             .start_generation(target.key, copy, target.work, shared.now());
+        shared.load_changed().notify();
         let place = Place {
             shared: shared.clone(),
             key: target.key,
@@ -212,6 +215,8 @@
             place.is_prompt_read = true;
             let mut fleet = place.shared.fleet();
             fleet.record_prompt_read(self.key, place.work);
+            drop(fleet);
+            place.shared.load_changed().notify();
         }
     }
 }
--- a/crates/cactusbarrow_gateway/src/lib.rs
+++ b/crates/cactusbarrow_gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod health_check;
 mod heartbeats;
 mod listener;
+mod peers;
 mod request;
 mod shared;
 mod start;
--- a/crates/cactusbarrow_gateway/src/shared.rs
+++ b/crates/cactusbarrow_gateway/src/shared.rs
@@ -1,26 +1,39 @@
 //! State that the tasks of one gateway share, each part under its own lock.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
+use std::net::{IpAddr, Ipv4Addr};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use cactusbarrow_adapter::GatewaySettings;
+use cactusbarrow_adapter::{GatewaySettings, Item};
 use cactusbarrow_net::Clock;
 use cactusbarrow_policy::{
-    BackendFleet, BackendKey, FleetConfig, LossCause, RetryBudget, Revision, RouteSet,
-    RouteSetCell, ServiceName,
+    BackendFleet, BackendKey, FleetConfig, LossCause, PeerConfig, PeerTable, RetryBudget, Revision,
+    RouteSet, RouteSetCell, ServiceName,
 };
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
+use crate::peers::LoadChanged;
+
 /// Retries that a service may save up; a zone of engines may be lost at any moment.
 const SAVED_RETRIES: f64 = 30.0;
 
 /// Share of the platform's retry budget that the gateways plan with.
 const BUDGET_SHARE: f64 = 0.6;
 
+/// What was read from the store, as it lies there; kept for peers that cannot reach it.
+#[derive(Debug, Default)]
+pub(crate) struct Replica {
+    pub(crate) config: Option<Item>,
+    pub(crate) servers: BTreeMap<String, Item>,
+    /// Store revision of the list of backend servers.
+    pub(crate) servers_revision: u64,
+}
+
 /// What all tasks of a gateway share.
 pub(crate) struct Shared<C> {
     pub(crate) settings: GatewaySettings,
@@ -31,6 +44,10 @@
     lost: Mutex<HashMap<BackendKey, CancellationToken>>,
     budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
     rng: Mutex<StdRng>,
+    replica: Mutex<Replica>,
+    peers: Mutex<PeerTable>,
+    load_changed: LoadChanged,
+    is_store_away: AtomicBool,
     /// Set while the gateway takes new work.
     pub(crate) is_open: watch::Sender<bool>,
     /// Set once the list of backend servers was read.
@@ -42,10 +59,25 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// Returns an address as IPv4; hosts have no others.
+fn ipv4(ip: IpAddr) -> Option<Ipv4Addr> {
+    match ip {
+        IpAddr::V4(ip) => Some(ip),
+        IpAddr::V6(ip) => ip.to_ipv4_mapped(),
+    }
+}
+
 impl<C: Clock> Shared<C> {
     pub(crate) fn new(settings: GatewaySettings, clock: C) -> Arc<Self> {
+        let seeds: Vec<Ipv4Addr> = settings.seeds.iter().copied().filter_map(ipv4).collect();
+        let own = ipv4(settings.ip).unwrap_or(Ipv4Addr::UNSPECIFIED);
+        let peers = PeerTable::new(PeerConfig::default(), own, &seeds);
         Arc::new(Self {
             settings,
+            replica: Mutex::default(),
+            peers: Mutex::new(peers),
+            load_changed: LoadChanged::default(),
+            is_store_away: AtomicBool::new(true),
             clock,
             routes: Mutex::default(),
             routes_version: watch::Sender::new(Revision(0)),
@@ -77,6 +109,37 @@
         is_taken
     }
 
+    /// Returns the version of the configuration in force; 0 before the first.
+    pub(crate) fn version(&self) -> Revision {
+        lock(&self.routes).version()
+    }
+
+    pub(crate) fn replica(&self) -> MutexGuard<'_, Replica> {
+        lock(&self.replica)
+    }
+
+    /// Returns the store revision of the list of backend servers.
+    pub(crate) fn servers_revision(&self) -> u64 {
+        lock(&self.replica).servers_revision
+    }
+
+    pub(crate) fn peers(&self) -> MutexGuard<'_, PeerTable> {
+        lock(&self.peers)
+    }
+
+    pub(crate) fn load_changed(&self) -> &LoadChanged {
+        &self.load_changed
+    }
+
+    /// Returns whether the store did not answer when it was last asked for the list.
+    pub(crate) fn is_store_away(&self) -> bool {
+        self.is_store_away.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn set_store_away(&self, is_away: bool) {
+        self.is_store_away.store(is_away, Ordering::Relaxed);
+    }
+
     pub(crate) fn routes_version(&self) -> watch::Receiver<Revision> {
         self.routes_version.subscribe()
     }
--- a/crates/cactusbarrow_gateway/src/start.rs
+++ b/crates/cactusbarrow_gateway/src/start.rs
@@ -6,13 +6,15 @@
 use cactusbarrow_adapter::{GatewaySettings, StoreClient};
 use cactusbarrow_net::{Clock, NetError, listen};
 use cactusbarrow_policy::Revision;
+use rand::Rng;
+use tokio::net::UdpSocket;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::listener::{self, ListenerStop};
 use crate::shared::Shared;
-use crate::{health_check, heartbeats, request, store_sync};
+use crate::{health_check, heartbeats, peers, request, store_sync};
 
 /// Time from the order to stop until callers' connections are closed; the balancer
 /// takes a host out after two failed checks, one second apart.
@@ -46,6 +48,10 @@
 ) -> Result<GatewayHandle<C>, NetError> {
     let (callers, _) = listen(settings.callers).await?;
     let (health, _) = listen(settings.health).await?;
+    let (knowledge, _) = listen(settings.peers).await?;
+    let heartbeats_socket = UdpSocket::bind(settings.peers)
+        .await
+        .map_err(|e| NetError::new("listen for heartbeats", settings.peers, e))?;
     let store = StoreClient::new(settings.store, store_sync::STORE_TIMEOUT);
     let shared = Shared::new(settings, clock);
     let listener_stop = ListenerStop::default();
@@ -80,6 +86,22 @@
         health_stop.clone(),
         TaskTracker::new(),
     ));
+    let incarnation = shared.rng().next_u64();
+    tokio::spawn(peers::run(
+        shared.clone(),
+        heartbeats_socket,
+        incarnation,
+        background.clone(),
+    ));
+    let cx = shared.clone();
+    let answer_peer = move |req| peers::answer(cx.clone(), req);
+    tokio::spawn(listener::run(
+        knowledge,
+        shared.clone(),
+        answer_peer,
+        health_stop.clone(),
+        TaskTracker::new(),
+    ));
     let cx = shared.clone();
     let answer_caller = move |req| request::serve(cx.clone(), req);
     tokio::spawn(listener::run(
--- a/crates/cactusbarrow_gateway/src/store_sync.rs
+++ b/crates/cactusbarrow_gateway/src/store_sync.rs
@@ -39,6 +39,17 @@
 
     /// Takes one change.
     fn apply(&mut self, change: Change, is_recovering: bool);
+
+    /// Takes the store revision up to which all changes were taken.
+    fn advance(&mut self, _revision: u64) {}
+
+    /// Returns the store revision that a peer's word has brought, if any.
+    fn learned_revision(&self) -> u64 {
+        0
+    }
+
+    /// Records whether the store answers.
+    fn record_link(&mut self, _is_away: bool) {}
 }
 
 /// Whether the store answers, as one follower sees it.
@@ -120,6 +131,7 @@
         let result = step(&store, &mut f, &mut link, &mut revision, &shared).await;
         if let Err(e) = result {
             link.record_failure(&e, shared.now());
+            f.record_link(true);
             let wait = RETRY_WAIT.delay(link.failures, &mut *shared.rng());
             tokio::time::sleep(wait).await;
         }
@@ -134,11 +146,12 @@
     revision: &mut Option<u64>,
     shared: &Shared<C>,
 ) -> Result<(), StoreFailure> {
-    let Some(after) = *revision else {
+    let Some(after) = revision.map(|revision| revision.max(f.learned_revision())) else {
         let snapshot = store.read_all(F::PREFIX).await?;
         let now = shared.now();
         link.record_success(now);
         *revision = Some(snapshot.revision);
+        f.record_link(false);
         f.reset(snapshot, link.is_recovering(now));
         return Ok(());
     };
@@ -151,6 +164,7 @@
     let watched = store.watch(F::PREFIX, after, wait).await?;
     let now = shared.now();
     link.record_success(now);
+    f.record_link(false);
     match watched {
         Watched::HistoryGone => {
             log::info!(keys = F::PREFIX, revision = after; "store dropped its history");
@@ -164,32 +178,53 @@
             for change in changes {
                 f.apply(change, link.is_recovering(now));
             }
+            f.advance(newest);
         }
     }
     Ok(())
 }
 
+/// Takes a configuration that came from the store or from a peer, if it is newer.
+pub(crate) fn offer_configuration<C: Clock>(
+    shared: &Shared<C>,
+    item: &Item,
+    source: &impl std::fmt::Display,
+) {
+    match decode_operator_config(&item.value) {
+        Ok(set) => {
+            let version = set.version.0;
+            let is_adopted = shared.offer_routes(set);
+            if is_adopted {
+                shared.replica().config = Some(item.clone());
+            }
+            log::info!(
+                version = version,
+                revision = item.revision,
+                source:% = source,
+                adopted = is_adopted;
+                "configuration read"
+            );
+        }
+        Err(e) => log::error!(revision = item.revision; "configuration not adopted: {e}"),
+    }
+}
+
+/// Takes a list of backend servers that a peer read from the store.
+pub(crate) fn adopt_backends<C: Clock>(shared: &Arc<Shared<C>>, snapshot: Snapshot) {
+    let mut backends = Backends {
+        shared: shared.clone(),
+    };
+    backends.reset(snapshot, false);
+}
+
 struct Configuration<C> {
     shared: Arc<Shared<C>>,
 }
 
 impl<C: Clock> Configuration<C> {
     fn offer(&self, item: &Item) {
-        if item.key != CONFIG_PREFIX {
-            return;
-        }
-        match decode_operator_config(&item.value) {
-            Ok(set) => {
-                let version = set.version.0;
-                let is_adopted = self.shared.offer_routes(set);
-                log::info!(
-                    version = version,
-                    revision = item.revision,
-                    adopted = is_adopted;
-                    "configuration read"
-                );
-            }
-            Err(e) => log::error!(revision = item.revision; "configuration not adopted: {e}"),
+        if item.key == CONFIG_PREFIX {
+            offer_configuration(&self.shared, item, &"store");
         }
     }
 }
@@ -282,17 +317,43 @@
         for item in &snapshot.items {
             self.put(item);
         }
+        let mut replica = self.shared.replica();
+        replica.servers_revision = replica.servers_revision.max(snapshot.revision);
+        replica.servers = snapshot
+            .items
+            .into_iter()
+            .map(|item| (item.key.clone(), item))
+            .collect();
+        drop(replica);
         self.shared.has_backends.send_replace(true);
     }
 
     fn apply(&mut self, change: Change, is_recovering: bool) {
         match change {
-            Change::Put(item) => self.put(&item),
+            Change::Put(item) => {
+                self.put(&item);
+                let mut replica = self.shared.replica();
+                replica.servers.insert(item.key.clone(), item);
+            }
             Change::Deleted { key } => {
                 if let Some(instance) = key.strip_prefix(SERVERS_PREFIX) {
                     self.delete(instance, is_recovering);
                 }
+                self.shared.replica().servers.remove(&key);
             }
         }
     }
+
+    fn advance(&mut self, revision: u64) {
+        let mut replica = self.shared.replica();
+        replica.servers_revision = replica.servers_revision.max(revision);
+    }
+
+    fn learned_revision(&self) -> u64 {
+        self.shared.servers_revision()
+    }
+
+    fn record_link(&mut self, is_away: bool) {
+        self.shared.set_store_away(is_away);
+    }
 }
--- a/crates/cactusbarrow_policy/src/backend_fleet.rs
+++ b/crates/cactusbarrow_policy/src/backend_fleet.rs
@@ -8,8 +8,10 @@
 use rand::Rng;
 use slotmap::{SlotMap, new_key_type};
 
+use crate::hash::stable_hash;
 use crate::heartbeat::{Heartbeat, HeartbeatConfig, HeartbeatStep};
 use crate::outcome::Reason;
+use crate::peer_table::PeerLoad;
 use crate::route_set::ServiceName;
 
 new_key_type! {
@@ -68,7 +70,7 @@
             refused_pause: Duration::from_millis(500),
             silent_pause: Duration::from_millis(1_000),
             missing_grace: Duration::from_millis(1_800),
-            running_cost: 1_000,
+            running_cost: 4_000,
             zone_loss_cost: 20_000,
             zone_loss_memory: Duration::from_millis(1_500),
             memory_share: 0.9,
@@ -135,6 +137,7 @@
 pub struct Backend {
     /// Its entry.
     pub entry: BackendEntry,
+    instance_hash: u64,
     listing: Listing,
     health: Health,
     heartbeat: Heartbeat,
@@ -264,29 +267,25 @@
         due
     }
 
-    /// Replaces what other gateways have at the backend servers.
-    ///
-    /// Each item is an instance, its running generations and its unread prompt tokens.
-    pub fn record_remote_load<'a>(&mut self, loads: impl Iterator<Item = (&'a str, u64, u64)>) {
+    /// Replaces what other gateways have at the backend servers, by hash of the instance.
+    pub fn record_remote_loads(&mut self, loads: &HashMap<u64, PeerLoad>) {
         for backend in self.backends.values_mut() {
-            backend.remote_generations = 0;
-            backend.remote_unread_tokens = 0;
-        }
-        for (instance, generations, unread_tokens) in loads {
-            let key = self.by_instance.get(instance);
-            if let Some(backend) = key.and_then(|key| self.backends.get_mut(*key)) {
-                backend.remote_generations = generations;
-                backend.remote_unread_tokens = unread_tokens;
-            }
+            let load = loads.get(&backend.instance_hash);
+            backend.remote_generations = load.map_or(0, |load| load.generations);
+            backend.remote_unread_tokens = load.map_or(0, |load| load.unread_tokens);
         }
     }
 
     /// Returns what this gateway has at backend servers that run generations for it.
-    pub fn own_load(&self) -> impl Iterator<Item = (&BackendEntry, u64, u64)> {
+    pub fn own_loads(&self) -> impl Iterator<Item = PeerLoad> {
         self.backends
             .values()
             .filter(|backend| backend.generations > 0)
-            .map(|b| (&b.entry, b.generations as u64, b.unread_tokens))
+            .map(|backend| PeerLoad {
+                engine: backend.instance_hash,
+                generations: backend.generations as u64,
+                unread_tokens: backend.unread_tokens,
+            })
     }
 
     /// Chooses the engine for a generation.
@@ -546,6 +545,7 @@
 impl Backend {
     fn new(entry: BackendEntry, listing: Listing, now: Instant) -> Self {
         Self {
+            instance_hash: stable_hash(entry.instance.as_bytes()),
             entry,
             listing,
             health: Health::Up,
