Tell callers of a stopping gateway to come back when the balancer has left it

Also, an attempt that ends before its first event never finds a copy.

A generation that can end within the grace is taken; another is told to come back once the balancer has taken the host out.

--- a/crates/cactusbarrow_gateway/src/generation.rs
+++ b/crates/cactusbarrow_gateway/src/generation.rs
@@ -101,6 +101,7 @@
 }
 
 fn record_end<C: Clock>(course: &Course<C>) {
+    course.record_complete();
     metrics::histogram!("gateway_generation_seconds").record(course.elapsed_ms() as f64 / 1_000.0);
     log::info!(
         request_id = course.request_id(),
--- a/crates/cactusbarrow_gateway/src/generation/course.rs
+++ b/crates/cactusbarrow_gateway/src/generation/course.rs
@@ -91,6 +91,13 @@
         self.req.shared.elapsed_since(self.req.arrived).as_millis() as u64
     }
 
+    /// Records the duration of a whole generation.
+    pub(crate) fn record_complete(&self) {
+        let shared = &self.req.shared;
+        let took = shared.elapsed_since(self.req.arrived);
+        shared.shutdown().record_generation(took);
+    }
+
     pub(crate) fn retry_after(&self) -> Duration {
         FULL_RETRY
     }
@@ -218,7 +225,8 @@
     /// Asks the plan what follows the end of an attempt.
     fn decide(&mut self, event: ResumeEvent) -> Option<Step> {
         let has_budget = self.req.shared.try_retry(&self.req.service);
-        let action = self.plan.decide(event, has_budget);
+        let has_progress = self.last_event != self.req.caller.last_event_id;
+        let action = self.plan.decide(event, has_progress, has_budget);
         metrics::counter!("gateway_retries_total", "kind" => "generation", "reason" => event.reason().as_str())
             .increment(1);
         log::info!(
--- a/crates/cactusbarrow_gateway/src/request.rs
+++ b/crates/cactusbarrow_gateway/src/request.rs
@@ -19,7 +19,7 @@
 /// Wait that a caller is told while the gateway cannot serve at all.
 const NOT_READY_RETRY: Duration = Duration::from_millis(250);
 
-/// Wait that a caller is told by a gateway that shuts down; another one serves it.
+/// Wait beyond the time that the balancer needs to send a caller elsewhere.
 const SHUTDOWN_RETRY: Duration = Duration::from_millis(50);
 
 /// Longest wait for an answer where the caller states none.
@@ -106,8 +106,9 @@
         return Err(Refusal::not_run(Reason::NoConfiguration, NOT_READY_RETRY));
     };
     let (route, customer) = look_up(&routes, &caller)?;
-    if !*shared.is_open.borrow() && matches!(route.kind, RequestKind::Generation { .. }) {
-        return Err(Refusal::not_run(Reason::ShuttingDown, SHUTDOWN_RETRY));
+    if matches!(route.kind, RequestKind::Generation { .. }) {
+        let admitted = shared.shutdown().admit_generation(shared.now());
+        admitted.map_err(|wait| Refusal::not_run(Reason::ShuttingDown, wait + SHUTDOWN_RETRY))?;
     }
     let service = route.draw_service(&mut *shared.rng()).cloned();
     let service =
--- a/crates/cactusbarrow_gateway/src/shared.rs
+++ b/crates/cactusbarrow_gateway/src/shared.rs
@@ -10,7 +10,7 @@
 use cactusbarrow_net::Clock;
 use cactusbarrow_policy::{
     BackendFleet, BackendKey, FleetConfig, LossCause, PeerConfig, PeerTable, RetryBudget, Revision,
-    RouteSet, RouteSetCell, ServiceName,
+    RouteSet, RouteSetCell, ServiceName, Shutdown, ShutdownConfig,
 };
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -48,8 +48,7 @@
     peers: Mutex<PeerTable>,
     load_changed: LoadChanged,
     is_store_away: AtomicBool,
-    /// Set while the gateway takes new work.
-    pub(crate) is_open: watch::Sender<bool>,
+    shutdown: Mutex<Shutdown>,
     /// Set once the list of backend servers was read.
     pub(crate) has_backends: watch::Sender<bool>,
 }
@@ -72,6 +71,7 @@
         let seeds: Vec<Ipv4Addr> = settings.seeds.iter().copied().filter_map(ipv4).collect();
         let own = ipv4(settings.ip).unwrap_or(Ipv4Addr::UNSPECIFIED);
         let peers = PeerTable::new(PeerConfig::default(), own, &seeds);
+        let shutdown = Shutdown::new(ShutdownConfig::default(), settings.bounds.grace);
         Arc::new(Self {
             settings,
             replica: Mutex::default(),
@@ -85,7 +85,7 @@
             lost: Mutex::default(),
             budgets: Mutex::default(),
             rng: Mutex::new(StdRng::from_rng(&mut rand::rng())),
-            is_open: watch::Sender::new(true),
+            shutdown: Mutex::new(shutdown),
             has_backends: watch::Sender::new(false),
         })
     }
@@ -127,6 +127,10 @@
         lock(&self.peers)
     }
 
+    pub(crate) fn shutdown(&self) -> MutexGuard<'_, Shutdown> {
+        lock(&self.shutdown)
+    }
+
     pub(crate) fn load_changed(&self) -> &LoadChanged {
         &self.load_changed
     }
@@ -154,7 +158,7 @@
 
     /// Returns whether the gateway can serve: it knows routes and backend servers and is open.
     pub(crate) fn is_ready(&self) -> bool {
-        *self.is_open.borrow()
+        !self.shutdown().has_begun()
             && *self.has_backends.borrow()
             && lock(&self.routes).current().is_some()
     }
--- a/crates/cactusbarrow_gateway/src/start.rs
+++ b/crates/cactusbarrow_gateway/src/start.rs
@@ -1,7 +1,6 @@
 //! Starts and stops one gateway.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use cactusbarrow_adapter::{GatewaySettings, StoreClient};
 use cactusbarrow_net::{Clock, NetError, listen};
@@ -16,13 +15,6 @@
 use crate::shared::Shared;
 use crate::{health_check, heartbeats, peers, request, store_sync};
 
-/// Time from the order to stop until callers' connections are closed; the balancer
-/// takes a host out after two failed checks, one second apart.
-const LEAVE_ROTATION: Duration = Duration::from_millis(2_300);
-
-/// Part of the grace that is kept for the end of the process itself.
-const EXIT_RESERVE: Duration = Duration::from_millis(300);
-
 /// State of a gateway, as it tells operators.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct GatewayStatus {
@@ -139,15 +131,18 @@
     ///
     /// Returns true if all connections ended within the grace.
     pub async fn stop(self) -> bool {
-        let grace = self.shared.settings.bounds.grace;
-        let leave = LEAVE_ROTATION.min(grace / 2);
-        self.shared.is_open.send_replace(false);
+        let leave = {
+            let now = self.shared.now();
+            let mut shutdown = self.shared.shutdown();
+            shutdown.begin(now);
+            shutdown.rotation_left(now)
+        };
         log::info!(connections = self.connections.len(); "leaving the balancer's rotation");
         tokio::time::sleep(leave).await;
         self.listener_stop.drain.cancel();
         log::info!(connections = self.connections.len(); "closing callers' connections");
         self.connections.close();
-        let left = grace.saturating_sub(leave + EXIT_RESERVE);
+        let left = self.shared.shutdown().time_left(self.shared.now());
         let is_clean = tokio::time::timeout(left, self.connections.wait())
             .await
             .is_ok();
--- a/crates/cactusbarrow_policy/src/lib.rs
+++ b/crates/cactusbarrow_policy/src/lib.rs
@@ -29,6 +29,7 @@
 mod resume_plan;
 mod retry;
 mod route_set;
+mod shutdown;
 mod subset;
 mod suspicion;
 mod text;
@@ -65,6 +66,7 @@
     CallerLimits, CustomerSpec, LookupError, RequestKind, Route, RouteSet, RouteSetCell,
     ServiceName, ServiceSpec,
 };
+pub use shutdown::{Shutdown, ShutdownConfig};
 pub use subset::{Member, SubsetConfig, select_subset};
 pub use suspicion::{Suspicion, SuspicionConfig};
 pub use text::Utf8Assembler;
--- a/crates/cactusbarrow_policy/src/resume_plan.rs
+++ b/crates/cactusbarrow_policy/src/resume_plan.rs
@@ -115,8 +115,14 @@
 
     /// Decides what follows the end of an attempt.
     ///
-    /// `has_budget` tells whether the service allows a retry.
-    pub fn decide(&mut self, event: ResumeEvent, has_budget: bool) -> ResumeAction {
+    /// `has_progress` tells whether any event was delivered, `has_budget` whether the
+    /// service allows a retry.
+    pub fn decide(
+        &mut self,
+        event: ResumeEvent,
+        has_progress: bool,
+        has_budget: bool,
+    ) -> ResumeAction {
         if event == ResumeEvent::Rejected {
             return ResumeAction::Deliver;
         }
@@ -136,9 +142,9 @@
         if !may_go_on {
             return self.refuse(reason);
         }
-        // An attempt that ran left its memory with the holder of the copy; one that was
-        // declined left nothing there.
-        let copy = self.copy.take().filter(|_| !event.is_declined());
+        // Copies begin with the first event; an attempt that was declined left none.
+        let copy = self.copy.take();
+        let copy = copy.filter(|_| has_progress && !event.is_declined());
         match copy {
             Some(holder) => ResumeAction::Start(Start::FromCopy(holder)),
             None => ResumeAction::Start(Start::ReadPrompt),
