--- a/crates/cactusbarrow_gateway/src/call.rs
+++ b/crates/cactusbarrow_gateway/src/call.rs
@@ -11,7 +11,7 @@
 use http::{Response, StatusCode};
 
 use crate::answers::Refusal;
-use crate::exchange::Connection;
+use crate::exchange::{Connection, loss_cause};
 use crate::request::{Admitted, count_refusal};
 
 /// Largest answer that is held; it is passed on when it is whole.
@@ -39,12 +39,11 @@
 struct InFlight<'a, C: Clock> {
     req: &'a Admitted<C>,
     key: BackendKey,
-    is_failure: Option<bool>,
 }
 
 impl<C: Clock> Drop for InFlight<'_, C> {
     fn drop(&mut self) {
-        self.req.shared.fleet().end_call(self.key, self.is_failure);
+        self.req.shared.fleet().end_call(self.key);
     }
 }
 
@@ -73,7 +72,9 @@
         }
         let (event, answer) = attempt(req, plan, key, &entry).await;
         let needs_retry = !matches!(event, CallEvent::Answered { is_failure: false });
-        let has_budget = needs_retry && req.shared.try_retry(&req.service);
+        // What never arrived is no repeat.
+        let has_arrived = event != CallEvent::NotConnected;
+        let has_budget = needs_retry && (!has_arrived || req.shared.try_retry(&req.service));
         match (plan.decide(event, has_budget), answer) {
             (CallAction::Deliver, Some(answer)) => return Ok(answer),
             (CallAction::Send, _) => count_retry(req, &entry, event),
@@ -101,17 +102,12 @@
 ) -> (CallEvent, Option<Answer>) {
     let shared = &req.shared;
     shared.fleet().start_call(key, shared.now());
-    let mut in_flight = InFlight {
-        req,
-        key,
-        is_failure: None,
-    };
+    let _in_flight = InFlight { req, key };
     plan.record_send(key);
     let conn = match Connection::open(entry.address, CONNECT_TIMEOUT).await {
         Ok(conn) => conn,
         Err(e) => {
-            let cause = LossCause::Refused;
-            shared.record_loss(key, cause, e.step);
+            shared.record_loss(key, loss_cause(&e), e.step);
             return (CallEvent::NotConnected, None);
         }
     };
@@ -139,7 +135,8 @@
         }
         Ok(Ok((head, body))) => judge(req, key, head, body),
     };
-    in_flight.is_failure = Some(!matches!(event, CallEvent::Answered { is_failure: false }));
+    let is_failure = !matches!(event, CallEvent::Answered { is_failure: false });
+    shared.fleet().record_result(key, is_failure, shared.now());
     (event, answer)
 }
 
--- a/crates/cactusbarrow_gateway/src/exchange.rs
+++ b/crates/cactusbarrow_gateway/src/exchange.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use cactusbarrow_net::{Body, NetError};
+use cactusbarrow_policy::LossCause;
 use http::{Request, response};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -39,18 +40,28 @@
     }
 }
 
+/// Returns what a failed connection says about the backend server.
+pub(crate) fn loss_cause(e: &NetError) -> LossCause {
+    if e.is_refused {
+        LossCause::Refused
+    } else {
+        LossCause::Unreachable
+    }
+}
+
 impl Connection {
     /// Connects within a time.
     pub(crate) async fn open(peer: SocketAddr, timeout: Duration) -> Result<Self, NetError> {
         const STEP: &str = "connect";
-        let failure = |message: &dyn std::fmt::Display| NetError {
+        let failure = |message: &dyn std::fmt::Display, is_refused| NetError {
             is_connect: true,
+            is_refused,
             ..NetError::new(STEP, peer, message)
         };
         let stream = tokio::time::timeout(timeout, TcpStream::connect(peer))
             .await
-            .map_err(|_| failure(&"no connection in time"))?
-            .map_err(|e| failure(&e))?;
+            .map_err(|_| failure(&"no connection in time", false))?
+            .map_err(|e| failure(&e, e.kind() == std::io::ErrorKind::ConnectionRefused))?;
         if let Err(e) = stream.set_nodelay(true) {
             log::debug!(step = STEP, peer:% = peer; "cannot set no delay: {e}");
         }
@@ -61,7 +72,7 @@
         let (sender, conn) = http1::Builder::new()
             .handshake(TokioIo::new(stream))
             .await
-            .map_err(|e| failure(&e))?;
+            .map_err(|e| failure(&e, false))?;
         let driver = tokio::spawn(async move {
             if let Err(e) = conn.await {
                 log::debug!(step = "drive connection", peer:% = peer; "connection ended: {e}");
--- a/crates/cactusbarrow_gateway/src/generation/attempt.rs
+++ b/crates/cactusbarrow_gateway/src/generation/attempt.rs
@@ -13,7 +13,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::AbortOnDropHandle;
 
-use crate::exchange::Connection;
+use crate::exchange::{Connection, loss_cause};
 use crate::request::Admitted;
 use crate::shared::Shared;
 
@@ -118,7 +118,7 @@
                     step = e.step;
                     "engine not reached: {e}"
                 );
-                shared.record_loss(target.key, LossCause::Refused, e.step);
+                shared.record_loss(target.key, loss_cause(&e), e.step);
                 return Opened::Ended(ResumeEvent::NotConnected);
             }
         };
@@ -215,6 +215,7 @@
             place.is_prompt_read = true;
             let mut fleet = place.shared.fleet();
             fleet.record_prompt_read(self.key, place.work);
+            fleet.record_result(self.key, false, place.shared.now());
             drop(fleet);
             place.shared.load_changed().notify();
         }
@@ -239,6 +240,9 @@
     if !head.is_own || head.status.is_success() {
         return Opened::Ended(ResumeEvent::Broken);
     }
+    let is_failure = head.status.is_server_error();
+    let now = req.shared.now();
+    req.shared.fleet().record_result(key, is_failure, now);
     match collect_limited(body, MAX_ANSWER_BYTES, &req.caller.request_id).await {
         Ok(Some(body)) => Opened::Answered(head, body),
         Ok(None) => Opened::Ended(ResumeEvent::Broken),
--- a/crates/cactusbarrow_gateway/src/generation/course.rs
+++ b/crates/cactusbarrow_gateway/src/generation/course.rs
@@ -224,7 +224,9 @@
 
     /// Asks the plan what follows the end of an attempt.
     fn decide(&mut self, event: ResumeEvent) -> Option<Step> {
-        let has_budget = self.req.shared.try_retry(&self.req.service);
+        // What never arrived is no repeat.
+        let has_arrived = event != ResumeEvent::NotConnected;
+        let has_budget = !has_arrived || self.req.shared.try_retry(&self.req.service);
         let has_progress = self.last_event != self.req.caller.last_event_id;
         let action = self.plan.decide(event, has_progress, has_budget);
         metrics::counter!("gateway_retries_total", "kind" => "generation", "reason" => event.reason().as_str())
--- a/crates/cactusbarrow_gateway/src/heartbeats.rs
+++ b/crates/cactusbarrow_gateway/src/heartbeats.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cactusbarrow_adapter::report_request;
+use cactusbarrow_adapter::{decode_identity, identity_request, report_request};
 use cactusbarrow_net::{Clock, NetError};
 use cactusbarrow_policy::{BackendKey, HeartbeatAction, LossCause};
 use tokio_util::sync::CancellationToken;
@@ -31,6 +31,9 @@
                 HeartbeatAction::Probe(key) => {
                     tokio::spawn(probe(shared.clone(), key));
                 }
+                HeartbeatAction::Identify(key) => {
+                    tokio::spawn(identify(shared.clone(), key));
+                }
                 HeartbeatAction::Lost(key) => {
                     shared.announce_loss(key, LossCause::Silent, "wait for heartbeat");
                 }
@@ -61,6 +64,36 @@
     }
 }
 
+/// Asks a backend server that was lost which instance it is now.
+async fn identify<C: Clock>(shared: Arc<Shared<C>>, key: BackendKey) {
+    let Some(entry) = shared.fleet().get(key).map(|b| b.entry.clone()) else {
+        return;
+    };
+    let routes = shared.routes();
+    let spec = routes
+        .as_ref()
+        .and_then(|set| set.services.get(&entry.service));
+    let Some(spec) = spec else {
+        return;
+    };
+    metrics::counter!("gateway_identity_checks_total").increment(1);
+    let exchange = async {
+        let conn = Connection::open(entry.address, REPORT_TIMEOUT).await?;
+        let req = identity_request(&entry.address.to_string(), &spec.health_path);
+        conn.send("ask for identity", req).await
+    };
+    let identity = match tokio::time::timeout(REPORT_TIMEOUT, exchange).await {
+        Ok(Ok(answer)) => decode_identity(&answer.head.headers),
+        // It stays lost until the next check.
+        Ok(Err(_)) | Err(_) => return,
+    };
+    match identity {
+        Some(instance) if instance == *entry.instance => shared.record_heard(key),
+        Some(_) => shared.record_loss(key, LossCause::Replaced, "ask for identity"),
+        None => {}
+    }
+}
+
 fn on_failure<C: Clock>(shared: &Shared<C>, key: BackendKey, e: &NetError) {
     log::info!(step = e.step, peer = e.peer.as_str(); "probe failed: {e}");
     // An engine that refuses a connection has ended, and its streams with it.
--- a/crates/cactusbarrow_gateway/src/peers.rs
+++ b/crates/cactusbarrow_gateway/src/peers.rs
@@ -1,14 +1,17 @@
 //! Heartbeats between gateways, and what one learns from another.
 
+use std::collections::HashSet;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
-use cactusbarrow_adapter::{Item, Snapshot};
-use cactusbarrow_net::{Body, Clock, HttpClient, HttpVersion, NetError};
+use cactusbarrow_adapter::Item;
+use cactusbarrow_net::{Body, Clock, HttpClient, HttpVersion, NetError, collect_limited};
 use cactusbarrow_policy::{PeerHeartbeat, PeerLoad};
-use cactusbarrow_protocol::generated::{EngineLoad, GatewayHeartbeat, GatewayKnowledge, StoreItem};
-use http::{Request, Response, Uri};
+use cactusbarrow_protocol::generated::{
+    EngineLoad, GatewayHeartbeat, GatewayKnowledge, KnowledgeRequest, StoreItem,
+};
+use http::{Method, Request, Response, StatusCode, Uri};
 use hyper::body::Incoming;
 use prost::Message;
 use tokio::net::UdpSocket;
@@ -33,8 +36,14 @@
 /// Longest wait for a gateway's knowledge.
 const KNOWLEDGE_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Time that the own store gets to bring news before a peer is asked for it.
-const NEWS_DELAY: Duration = Duration::from_millis(250);
+/// Largest request for a gateway's knowledge.
+const MAX_REQUEST_BYTES: usize = 1_024;
+
+/// Time that a watcher's own store gets to bring news before a peer is asked for it.
+const WATCHER_DELAY: Duration = Duration::from_millis(500);
+
+/// Shortest time between two requests for knowledge.
+const LEARN_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Sends and receives heartbeats until `stop`.
 pub(crate) async fn run<C: Clock>(
@@ -78,9 +87,10 @@
 
 fn encode<C: Clock>(shared: &Shared<C>, incarnation: u64, sequence: u64) -> Vec<u8> {
     let now = shared.now();
+    let standing = shared.standing(now);
     let loads = shared
         .fleet()
-        .own_loads()
+        .own_loads(now)
         .take(MAX_LOADS)
         .collect::<Vec<_>>();
     let peers = shared
@@ -96,6 +106,8 @@
         servers_revision: shared.servers_revision(),
         loads: loads.iter().map(load_to_wire).collect(),
         peers: peers.iter().map(|ip| ip.to_bits()).collect(),
+        is_store_ok: standing.is_store_ok,
+        age_ms: standing.age.as_millis().try_into().unwrap_or(u32::MAX),
     };
     heartbeat.encode_to_vec()
 }
@@ -105,6 +117,8 @@
         engine: load.engine,
         generations: load.generations.try_into().unwrap_or(u32::MAX),
         unread_tokens: load.unread_tokens.try_into().unwrap_or(u32::MAX),
+        memory_tokens: load.memory_tokens.try_into().unwrap_or(u32::MAX),
+        is_avoided: load.avoiders > 0,
     }
 }
 
@@ -137,6 +151,8 @@
         servers_revision: wire.servers_revision,
         loads: wire.loads.iter().map(load_from_wire).collect(),
         peers: wire.peers.into_iter().map(Ipv4Addr::from_bits).collect(),
+        is_store_ok: wire.is_store_ok,
+        age: Duration::from_millis(wire.age_ms.into()),
     };
     let loads = {
         let mut peers = shared.peers();
@@ -153,6 +169,8 @@
         engine: load.engine,
         generations: load.generations.into(),
         unread_tokens: load.unread_tokens.into(),
+        memory_tokens: load.memory_tokens.into(),
+        avoiders: load.is_avoided.into(),
     }
 }
 
@@ -160,14 +178,16 @@
 async fn learn<C: Clock>(shared: Arc<Shared<C>>) {
     let http = HttpClient::new(HttpVersion::Http1);
     loop {
-        tokio::time::sleep(NEWS_DELAY / 2).await;
-        let Some(peer) = newer_peer(&shared) else {
-            continue;
-        };
-        tokio::time::sleep(NEWS_DELAY).await;
+        tokio::time::sleep(LEARN_INTERVAL).await;
         if newer_peer(&shared).is_none() {
             continue;
         }
+        if shared.is_watcher(shared.now()) {
+            tokio::time::sleep(WATCHER_DELAY).await;
+        }
+        let Some(peer) = newer_peer(&shared) else {
+            continue;
+        };
         match ask(&http, &shared, peer).await {
             Ok(knowledge) => adopt(&shared, peer, knowledge),
             Err(e) => log::info!(step = e.step; "peer's knowledge not learned: {e}"),
@@ -177,14 +197,10 @@
 
 fn newer_peer<C: Clock>(shared: &Shared<C>) -> Option<Ipv4Addr> {
     let now = shared.now();
+    let (version, revision) = (shared.version().0, shared.servers_revision());
     let peers = shared.peers();
-    let config = peers.newest_config(shared.version().0, now);
-    // Watches end at different revisions; only a store that is away makes that matter.
-    let servers = || {
-        let is_away = shared.is_store_away();
-        is_away.then(|| peers.newest_servers(shared.servers_revision(), now))?
-    };
-    config.or_else(servers)
+    let config = peers.newest_config(version, now);
+    config.or_else(|| peers.newest_servers(revision, now))
 }
 
 async fn ask<C: Clock>(
@@ -197,7 +213,12 @@
     let uri: Uri = format!("http://{addr}/knowledge")
         .parse()
         .map_err(|e| NetError::new(STEP, addr, e))?;
-    let mut req = Request::new(Body::Empty);
+    let known = KnowledgeRequest {
+        config_version: shared.version().0,
+        servers_revision: shared.servers_revision(),
+    };
+    let mut req = Request::new(Body::full(known.encode_to_vec()));
+    *req.method_mut() = Method::POST;
     *req.uri_mut() = uri;
     let res = http
         .send_whole(STEP, req, KNOWLEDGE_TIMEOUT, MAX_KNOWLEDGE_BYTES)
@@ -205,24 +226,21 @@
     GatewayKnowledge::decode(res.into_body()).map_err(|e| NetError::new(STEP, addr, e))
 }
 
-fn adopt<C: Clock>(shared: &Arc<Shared<C>>, peer: Ipv4Addr, knowledge: GatewayKnowledge) {
-    if let Some(config) = knowledge.config {
-        let item = item_from_wire(config);
-        store_sync::offer_configuration(shared, &item, &peer);
-    }
-    if shared.is_store_away() && knowledge.servers_revision > shared.servers_revision() {
-        log::info!(
-            peer:% = peer,
-            revision = knowledge.servers_revision,
-            own_revision = shared.servers_revision();
-            "list of backend servers learned from a peer"
-        );
-        let snapshot = Snapshot {
-            items: knowledge.servers.into_iter().map(item_from_wire).collect(),
-            revision: knowledge.servers_revision,
-        };
-        store_sync::adopt_backends(shared, snapshot);
+fn adopt<C: Clock>(shared: &Shared<C>, peer: Ipv4Addr, knowledge: GatewayKnowledge) {
+    if knowledge.servers_revision <= shared.servers_revision() && knowledge.config.is_none() {
+        return;
     }
+    log::info!(
+        peer:% = peer,
+        revision = knowledge.servers_revision,
+        own_revision = shared.servers_revision(),
+        entries = knowledge.servers.len();
+        "knowledge learned from a peer"
+    );
+    let items = knowledge.servers.into_iter().chain(knowledge.config);
+    let items = items.map(item_from_wire).collect();
+    let listed: HashSet<String> = knowledge.instances.into_iter().collect();
+    store_sync::adopt(shared, items, &listed, knowledge.servers_revision, &peer);
 }
 
 fn item_from_wire(wire: StoreItem) -> Item {
@@ -244,16 +262,43 @@
 /// Answers a peer that asks for this gateway's knowledge.
 pub(crate) async fn answer<C: Clock>(
     shared: Arc<Shared<C>>,
-    _req: Request<Incoming>,
+    req: Request<Incoming>,
 ) -> Response<Body> {
-    let knowledge = {
-        let replica = shared.replica();
-        GatewayKnowledge {
-            config: replica.config.as_ref().map(item_to_wire),
-            servers: replica.servers.values().map(item_to_wire).collect(),
-            servers_revision: replica.servers_revision,
-        }
+    let known = match collect_limited(req.into_body(), MAX_REQUEST_BYTES, "peer").await {
+        Ok(Some(body)) => KnowledgeRequest::decode(body).ok(),
+        Ok(None) | Err(_) => None,
+    };
+    let Some(known) = known else {
+        log::warn!("request for knowledge cannot be decoded");
+        let mut res = Response::new(Body::Empty);
+        *res.status_mut() = StatusCode::BAD_REQUEST;
+        return res;
+    };
+    let servers_revision = shared.servers_revision();
+    let is_newer = shared.version().0 > known.config_version;
+    let instances = shared
+        .fleet()
+        .instances()
+        .map(|instance| instance.to_string())
+        .collect();
+    let replica = shared.replica();
+    let newer = |item: &&Item| item.revision > known.servers_revision;
+    let knowledge = GatewayKnowledge {
+        config: replica
+            .config
+            .as_ref()
+            .filter(|_| is_newer)
+            .map(item_to_wire),
+        servers: replica
+            .servers
+            .values()
+            .filter(newer)
+            .map(item_to_wire)
+            .collect(),
+        servers_revision,
+        instances,
     };
+    drop(replica);
     Response::new(Body::full(knowledge.encode_to_vec()))
 }
 
--- a/crates/cactusbarrow_gateway/src/shared.rs
+++ b/crates/cactusbarrow_gateway/src/shared.rs
@@ -2,7 +2,6 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::{IpAddr, Ipv4Addr};
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -10,7 +9,8 @@
 use cactusbarrow_net::Clock;
 use cactusbarrow_policy::{
     BackendFleet, BackendKey, FleetConfig, LossCause, PeerConfig, PeerTable, RetryBudget, Revision,
-    RouteSet, RouteSetCell, ServiceName, Shutdown, ShutdownConfig,
+    RouteSet, RouteSetCell, ServiceName, Shutdown, ShutdownConfig, StoreStanding, WatchDutyConfig,
+    is_watcher,
 };
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -18,20 +18,46 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::peers::LoadChanged;
-
-/// Retries that a service may save up; a zone of engines may be lost at any moment.
-const SAVED_RETRIES: f64 = 30.0;
+use crate::store_sync::StoreLink;
 
 /// Share of the platform's retry budget that the gateways plan with.
-const BUDGET_SHARE: f64 = 0.6;
+const BUDGET_SHARE: f64 = 0.85;
+
+/// Gateways that are assumed before any was heard.
+const MIN_GATEWAYS: usize = 4;
 
-/// What was read from the store, as it lies there; kept for peers that cannot reach it.
+/// Age of what nobody has confirmed yet.
+const UNKNOWN_AGE: Duration = Duration::from_secs(3_600);
+
+/// What was read from the store, as it lies there; kept for peers that do not watch it.
 #[derive(Debug, Default)]
 pub(crate) struct Replica {
     pub(crate) config: Option<Item>,
     pub(crate) servers: BTreeMap<String, Item>,
-    /// Store revision of the list of backend servers.
-    pub(crate) servers_revision: u64,
+    /// Store revision of the newest change that was taken.
+    changed: u64,
+    /// Store revision from which a watch goes on; `None` if all keys have to be read.
+    position: Option<u64>,
+}
+
+impl Replica {
+    /// Returns the revision from which a watch goes on.
+    pub(crate) fn watch_after(&self) -> Option<u64> {
+        self.position
+    }
+
+    /// Records that the store dropped the history since the position.
+    pub(crate) fn forget_position(&mut self) {
+        self.position = None;
+    }
+
+    /// Records that all changes up to a revision were taken.
+    pub(crate) fn advance(&mut self, revision: u64, has_changes: bool) {
+        self.position = Some(self.position.unwrap_or(0).max(revision));
+        if has_changes {
+            self.changed = self.changed.max(revision);
+        }
+    }
 }
 
 /// What all tasks of a gateway share.
@@ -47,7 +73,7 @@
     replica: Mutex<Replica>,
     peers: Mutex<PeerTable>,
     load_changed: LoadChanged,
-    is_store_away: AtomicBool,
+    link: Mutex<StoreLink>,
     shutdown: Mutex<Shutdown>,
     /// Set once the list of backend servers was read.
     pub(crate) has_backends: watch::Sender<bool>,
@@ -77,7 +103,7 @@
             replica: Mutex::default(),
             peers: Mutex::new(peers),
             load_changed: LoadChanged::default(),
-            is_store_away: AtomicBool::new(true),
+            link: Mutex::default(),
             clock,
             routes: Mutex::default(),
             routes_version: watch::Sender::new(Revision(0)),
@@ -120,7 +146,7 @@
 
     /// Returns the store revision of the list of backend servers.
     pub(crate) fn servers_revision(&self) -> u64 {
-        lock(&self.replica).servers_revision
+        lock(&self.replica).changed
     }
 
     pub(crate) fn peers(&self) -> MutexGuard<'_, PeerTable> {
@@ -135,13 +161,37 @@
         &self.load_changed
     }
 
-    /// Returns whether the store did not answer when it was last asked for the list.
-    pub(crate) fn is_store_away(&self) -> bool {
-        self.is_store_away.load(Ordering::Relaxed)
+    pub(crate) fn link(&self) -> MutexGuard<'_, StoreLink> {
+        lock(&self.link)
+    }
+
+    /// Returns whether this gateway is one of those that watch the store.
+    pub(crate) fn is_watcher(&self, now: Instant) -> bool {
+        let peers: Vec<StoreStanding> = self.peers().standings(now).collect();
+        is_watcher(&WatchDutyConfig::default(), &self.standing(now), &peers)
+    }
+
+    /// Returns how this gateway stands to the store.
+    pub(crate) fn standing(&self, now: Instant) -> StoreStanding {
+        let (is_store_ok, confirmed) = {
+            let link = self.link();
+            (link.is_ok(), link.confirmed())
+        };
+        let own_age = confirmed.map_or(UNKNOWN_AGE, |at| now.saturating_duration_since(at));
+        // A peer's word counts if this gateway knows as much as the peer.
+        let learned = self.peers().fresh_age(self.servers_revision(), now);
+        StoreStanding {
+            ip: ipv4(self.settings.ip).unwrap_or(Ipv4Addr::UNSPECIFIED),
+            is_store_ok,
+            age: own_age.min(learned.unwrap_or(UNKNOWN_AGE)),
+        }
     }
 
-    pub(crate) fn set_store_away(&self, is_away: bool) {
-        self.is_store_away.store(is_away, Ordering::Relaxed);
+    /// Returns the number of gateways that share budgets, this one included.
+    fn gateways(&self) -> usize {
+        let now = self.now();
+        let heard = self.peers().heard(now).count() + 1;
+        heard.max(MIN_GATEWAYS)
     }
 
     pub(crate) fn routes_version(&self) -> watch::Receiver<Revision> {
@@ -193,8 +243,8 @@
         }
         metrics::counter!("gateway_backend_losses_total", "reason" => cause.reason().as_str())
             .increment(1);
-        // One refused connection does not end the streams that the engine still sends.
-        if cause != LossCause::Refused
+        // A failed connection does not end the streams that the engine still sends.
+        if matches!(cause, LossCause::Silent | LossCause::Replaced)
             && let Some(token) = lock(&self.lost).remove(&key)
         {
             token.cancel();
@@ -227,10 +277,12 @@
 
     fn with_budget<T>(&self, service: &ServiceName, f: impl FnOnce(&mut RetryBudget) -> T) -> T {
         let ratio = self.settings.retry_ratio * BUDGET_SHARE;
+        let saved = self.settings.retry_slack * BUDGET_SHARE / self.gateways() as f64;
         let mut budgets = lock(&self.budgets);
         let budget = budgets
             .entry(service.clone())
-            .or_insert_with(|| RetryBudget::new(ratio, SAVED_RETRIES));
+            .or_insert_with(|| RetryBudget::new(ratio, saved));
+        budget.set_max_saved(saved);
         f(budget)
     }
 
--- a/crates/cactusbarrow_gateway/src/start.rs
+++ b/crates/cactusbarrow_gateway/src/start.rs
@@ -50,16 +50,7 @@
     let health_stop = ListenerStop::default();
     let background = CancellationToken::new();
     let connections = TaskTracker::new();
-    tokio::spawn(store_sync::follow_configuration(
-        shared.clone(),
-        store.clone(),
-        background.clone(),
-    ));
-    tokio::spawn(store_sync::follow_backends(
-        shared.clone(),
-        store,
-        background.clone(),
-    ));
+    tokio::spawn(store_sync::run(shared.clone(), store, background.clone()));
     tokio::spawn(heartbeats::run(shared.clone(), background.clone()));
     let cx = shared.clone();
     let answer_health = move |req| {
--- a/crates/cactusbarrow_gateway/src/store_sync.rs
+++ b/crates/cactusbarrow_gateway/src/store_sync.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use cactusbarrow_adapter::{
-    CONFIG_PREFIX, Change, Item, SERVERS_PREFIX, Snapshot, StoreClient, StoreFailure, Watched,
+    CONFIG_KEY, Change, Item, SERVERS_PREFIX, Snapshot, StoreClient, StoreFailure, Watched,
     decode_backend_entry, decode_operator_config,
 };
 use cactusbarrow_net::Clock;
@@ -14,14 +14,27 @@
 
 use crate::shared::Shared;
 
+/// Beginning of the keys that are followed: all of them, so that one call covers the
+/// configuration and the list.
+const ALL_KEYS: &str = "";
+
 /// Longest wait of one watch; a silent connection is noticed soon after it.
-const WATCH_WAIT: Duration = Duration::from_millis(4_000);
+const WATCH_WAIT: Duration = Duration::from_millis(1_000);
+
+/// Wait after a watch that brought changes, so that the next one brings several.
+const GATHER: Duration = Duration::from_millis(300);
 
 /// Time beyond a call's own wait after which the store is taken for unreachable.
-pub(crate) const STORE_TIMEOUT: Duration = Duration::from_millis(700);
+pub(crate) const STORE_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Waits between calls while the store fails.
-const RETRY_WAIT: Backoff = Backoff::new(Duration::from_millis(100), Duration::from_millis(400));
+const RETRY_WAIT: Backoff = Backoff::new(Duration::from_millis(150), Duration::from_millis(800));
+
+/// Interval at which a gateway without the duty to watch looks whether it has it.
+const DUTY_CHECK: Duration = Duration::from_millis(100);
+
+/// Interval at which a gateway without the duty to watch tries a store that failed it.
+const LINK_CHECK: Duration = Duration::from_millis(2_000);
 
 /// Outage after which vanished entries may have lapsed; their owners were alive all the while.
 const LAPSE_AFTER: Duration = Duration::from_millis(1_500);
@@ -29,41 +42,34 @@
 /// Time after an outage in which vanished entries may come back.
 const RETURN_TIME: Duration = Duration::from_millis(2_000);
 
-/// What a follower does with the keys it follows.
-trait Follower {
-    /// Beginning of the keys.
-    const PREFIX: &'static str;
-
-    /// Takes all keys as they are.
-    fn reset(&mut self, snapshot: Snapshot, is_recovering: bool);
-
-    /// Takes one change.
-    fn apply(&mut self, change: Change, is_recovering: bool);
-
-    /// Takes the store revision up to which all changes were taken.
-    fn advance(&mut self, _revision: u64) {}
-
-    /// Returns the store revision that a peer's word has brought, if any.
-    fn learned_revision(&self) -> u64 {
-        0
-    }
-
-    /// Records whether the store answers.
-    fn record_link(&mut self, _is_away: bool) {}
-}
-
-/// Whether the store answers, as one follower sees it.
-struct Link {
-    prefix: &'static str,
+/// Whether the store answers this gateway.
+#[derive(Debug, Default)]
+pub(crate) struct StoreLink {
     failing_since: Option<Instant>,
     failures: u32,
     recovering_until: Option<Instant>,
+    confirmed: Option<Instant>,
 }
 
-impl Link {
+impl StoreLink {
+    /// Returns whether the last call was answered, or none was made.
+    pub(crate) fn is_ok(&self) -> bool {
+        self.failing_since.is_none()
+    }
+
+    /// Returns whether entries that vanish now may come back.
+    pub(crate) fn is_recovering(&self, now: Instant) -> bool {
+        self.recovering_until.is_some_and(|until| now < until)
+    }
+
+    /// Returns when the store last confirmed what this gateway knows.
+    pub(crate) fn confirmed(&self) -> Option<Instant> {
+        self.confirmed
+    }
+
     fn record_failure(&mut self, e: &StoreFailure, now: Instant) {
         if self.failing_since.is_none() {
-            log::warn!(dependency = "store", keys = self.prefix, step = e.step; "store lost: {e}");
+            log::warn!(dependency = "store", step = e.step; "store lost: {e}");
         }
         metrics::counter!("gateway_store_failures_total", "step" => e.step).increment(1);
         self.failing_since.get_or_insert(now);
@@ -71,13 +77,13 @@
     }
 
     fn record_success(&mut self, now: Instant) {
+        self.confirmed = Some(now);
         let Some(since) = self.failing_since.take() else {
             return;
         };
         let outage = now.saturating_duration_since(since);
         log::info!(
             dependency = "store",
-            keys = self.prefix,
             outage_ms = outage.as_millis() as u64,
             failures = self.failures;
             "store regained"
@@ -87,273 +93,216 @@
             self.recovering_until = Some(now + RETURN_TIME);
         }
     }
-
-    fn is_recovering(&self, now: Instant) -> bool {
-        self.recovering_until.is_some_and(|until| now < until)
-    }
 }
 
-/// Follows the operators' configuration until `stop`.
-pub(crate) async fn follow_configuration<C: Clock>(
+/// Follows the store while that is this gateway's duty, until `stop`.
+pub(crate) async fn run<C: Clock>(
     shared: Arc<Shared<C>>,
     store: StoreClient,
     stop: CancellationToken,
 ) {
-    let follower = Configuration {
-        shared: shared.clone(),
-    };
-    stop.run_until_cancelled(follow(shared, store, follower))
-        .await;
+    stop.run_until_cancelled(follow(shared, store)).await;
 }
 
-/// Follows the list of backend servers until `stop`.
-pub(crate) async fn follow_backends<C: Clock>(
-    shared: Arc<Shared<C>>,
-    store: StoreClient,
-    stop: CancellationToken,
-) {
-    let follower = Backends {
-        shared: shared.clone(),
-    };
-    stop.run_until_cancelled(follow(shared, store, follower))
-        .await;
-}
-
-async fn follow<C: Clock, F: Follower>(shared: Arc<Shared<C>>, store: StoreClient, mut f: F) {
-    let mut link = Link {
-        prefix: F::PREFIX,
-        failing_since: None,
-        failures: 0,
-        recovering_until: None,
-    };
-    let mut revision = None;
+async fn follow<C: Clock>(shared: Arc<Shared<C>>, store: StoreClient) {
+    let mut was_watcher = false;
+    let mut tried = shared.now();
     loop {
-        let result = step(&store, &mut f, &mut link, &mut revision, &shared).await;
-        if let Err(e) = result {
-            link.record_failure(&e, shared.now());
-            f.record_link(true);
-            let wait = RETRY_WAIT.delay(link.failures, &mut *shared.rng());
-            tokio::time::sleep(wait).await;
+        let now = shared.now();
+        let is_watcher = shared.is_watcher(now);
+        if is_watcher != was_watcher {
+            log::info!(watches = is_watcher, revision = shared.servers_revision(); "duty to watch the store changed");
+            was_watcher = is_watcher;
+        }
+        let is_link_check = !shared.link().is_ok() && now >= tried + LINK_CHECK;
+        if !is_watcher && !is_link_check {
+            tokio::time::sleep(DUTY_CHECK).await;
+            continue;
+        }
+        tried = now;
+        metrics::counter!("gateway_store_calls_total").increment(1);
+        match step(&shared, &store).await {
+            Ok(true) => tokio::time::sleep(GATHER).await,
+            Ok(false) => {}
+            Err(e) => {
+                let failures = {
+                    let mut link = shared.link();
+                    link.record_failure(&e, shared.now());
+                    link.failures
+                };
+                let wait = RETRY_WAIT.delay(failures, &mut *shared.rng());
+                tokio::time::sleep(wait).await;
+            }
         }
     }
 }
 
-/// Reads all keys, or waits for the next changes.
-async fn step<C: Clock, F: Follower>(
-    store: &StoreClient,
-    f: &mut F,
-    link: &mut Link,
-    revision: &mut Option<u64>,
-    shared: &Shared<C>,
-) -> Result<(), StoreFailure> {
-    let Some(after) = revision.map(|revision| revision.max(f.learned_revision())) else {
-        let snapshot = store.read_all(F::PREFIX).await?;
-        let now = shared.now();
-        link.record_success(now);
-        *revision = Some(snapshot.revision);
-        f.record_link(false);
-        f.reset(snapshot, link.is_recovering(now));
-        return Ok(());
+/// Reads all keys, or waits for the next changes; returns whether there were any.
+async fn step<C: Clock>(shared: &Shared<C>, store: &StoreClient) -> Result<bool, StoreFailure> {
+    let Some(after) = shared.replica().watch_after() else {
+        let snapshot = store.read_all(ALL_KEYS).await?;
+        shared.link().record_success(shared.now());
+        reset(shared, snapshot);
+        return Ok(false);
     };
     // A store that was away is asked without a wait, so that its return shows at once.
-    let wait = if link.failing_since.is_some() {
-        Duration::ZERO
-    } else {
+    let wait = if shared.link().is_ok() {
         WATCH_WAIT
+    } else {
+        Duration::ZERO
     };
-    let watched = store.watch(F::PREFIX, after, wait).await?;
-    let now = shared.now();
-    link.record_success(now);
-    f.record_link(false);
+    let watched = store.watch(ALL_KEYS, after, wait).await?;
+    shared.link().record_success(shared.now());
     match watched {
         Watched::HistoryGone => {
-            log::info!(keys = F::PREFIX, revision = after; "store dropped its history");
-            *revision = None;
+            log::info!(revision = after; "store dropped its history");
+            shared.replica().forget_position();
+            Ok(false)
         }
-        Watched::Changes {
-            changes,
-            revision: newest,
-        } => {
-            *revision = Some(newest.max(after));
+        Watched::Changes { changes, revision } => {
+            let has_changes = !changes.is_empty();
             for change in changes {
-                f.apply(change, link.is_recovering(now));
+                apply(shared, change);
+            }
+            shared.replica().advance(revision, has_changes);
+            if has_changes {
+                shared.load_changed().notify();
             }
-            f.advance(newest);
+            Ok(has_changes)
         }
     }
-    Ok(())
 }
 
-/// Takes a configuration that came from the store or from a peer, if it is newer.
-pub(crate) fn offer_configuration<C: Clock>(
+/// Takes all keys as they are.
+fn reset<C: Clock>(shared: &Shared<C>, snapshot: Snapshot) {
+    let listed: HashSet<&str> = snapshot
+        .items
+        .iter()
+        .filter_map(|item| item.key.strip_prefix(SERVERS_PREFIX))
+        .collect();
+    remove_unlisted(shared, |instance| listed.contains(instance));
+    let revision = snapshot.revision;
+    for item in snapshot.items {
+        put(shared, item, &"store");
+    }
+    shared.replica().advance(revision, true);
+    shared.has_backends.send_replace(true);
+    shared.load_changed().notify();
+}
+
+/// Takes what a peer knows beyond this gateway.
+pub(crate) fn adopt<C: Clock>(
     shared: &Shared<C>,
-    item: &Item,
+    items: Vec<Item>,
+    listed: &HashSet<String>,
+    revision: u64,
     source: &impl std::fmt::Display,
 ) {
-    match decode_operator_config(&item.value) {
-        Ok(set) => {
-            let version = set.version.0;
-            let is_adopted = shared.offer_routes(set);
-            if is_adopted {
-                shared.replica().config = Some(item.clone());
-            }
-            log::info!(
-                version = version,
-                revision = item.revision,
-                source:% = source,
-                adopted = is_adopted;
-                "configuration read"
-            );
-        }
-        Err(e) => log::error!(revision = item.revision; "configuration not adopted: {e}"),
+    remove_unlisted(shared, |instance| listed.contains(instance));
+    for item in items {
+        put(shared, item, source);
     }
+    shared.replica().advance(revision, true);
+    shared.has_backends.send_replace(true);
 }
 
-/// Takes a list of backend servers that a peer read from the store.
-pub(crate) fn adopt_backends<C: Clock>(shared: &Arc<Shared<C>>, snapshot: Snapshot) {
-    let mut backends = Backends {
-        shared: shared.clone(),
+fn remove_unlisted<C: Clock>(shared: &Shared<C>, is_listed: impl Fn(&str) -> bool) {
+    let gone: Vec<Arc<str>> = {
+        let fleet = shared.fleet();
+        let gone = fleet.instances().filter(|instance| !is_listed(instance));
+        gone.cloned().collect()
     };
-    backends.reset(snapshot, false);
-}
-
-struct Configuration<C> {
-    shared: Arc<Shared<C>>,
-}
-
-impl<C: Clock> Configuration<C> {
-    fn offer(&self, item: &Item) {
-        if item.key == CONFIG_PREFIX {
-            offer_configuration(&self.shared, item, &"store");
-        }
+    for instance in gone {
+        delete(shared, &instance);
     }
+    let mut replica = shared.replica();
+    replica
+        .servers
+        .retain(|key, _| key.strip_prefix(SERVERS_PREFIX).is_some_and(&is_listed));
 }
 
-impl<C: Clock> Follower for Configuration<C> {
-    const PREFIX: &'static str = CONFIG_PREFIX;
-
-    fn reset(&mut self, snapshot: Snapshot, _is_recovering: bool) {
-        for item in &snapshot.items {
-            self.offer(item);
-        }
-    }
-
-    fn apply(&mut self, change: Change, _is_recovering: bool) {
-        match change {
-            Change::Put(item) => self.offer(&item),
-            Change::Deleted { key } => {
-                log::warn!(key = key.as_str(); "configuration was deleted; the last one stays");
+fn apply<C: Clock>(shared: &Shared<C>, change: Change) {
+    match change {
+        Change::Put(item) => put(shared, item, &"store"),
+        Change::Deleted { key } => {
+            if let Some(instance) = key.strip_prefix(SERVERS_PREFIX) {
+                delete(shared, instance);
+            } else if key == CONFIG_KEY {
+                log::warn!("configuration was deleted; the last one stays");
             }
+            shared.replica().servers.remove(&key);
         }
     }
 }
 
-struct Backends<C> {
-    shared: Arc<Shared<C>>,
+fn put<C: Clock>(shared: &Shared<C>, item: Item, source: &impl std::fmt::Display) {
+    if item.key == CONFIG_KEY {
+        offer_configuration(shared, item, source);
+    } else if let Some(instance) = item.key.strip_prefix(SERVERS_PREFIX) {
+        put_backend(shared, instance, &item);
+        shared.replica().servers.insert(item.key.clone(), item);
+    }
 }
 
-impl<C: Clock> Backends<C> {
-    fn put(&self, item: &Item) {
-        let Some(instance) = item.key.strip_prefix(SERVERS_PREFIX) else {
-            return;
-        };
-        let now = self.shared.now();
-        let Some(entry) = decode_backend_entry(instance, &item.value) else {
-            log::warn!(
-                instance = instance,
-                revision = item.revision;
-                "entry names no usable backend server"
-            );
-            self.shared.fleet().remove_instance(instance);
-            return;
-        };
-        let (service, is_draining) = (entry.service.clone(), entry.is_draining);
-        if self.shared.fleet().record_entry(entry, now) {
+/// Takes a configuration that came from the store or from a peer, if it is newer.
+fn offer_configuration<C: Clock>(shared: &Shared<C>, item: Item, source: &impl std::fmt::Display) {
+    match decode_operator_config(&item.value) {
+        Ok(set) => {
+            let version = set.version.0;
+            let is_adopted = shared.offer_routes(set);
             log::info!(
-                instance = instance,
-                service = &*service,
+                version = version,
                 revision = item.revision,
-                draining = is_draining;
-                "backend server listed"
-            );
-        }
-    }
-
-    fn delete(&self, instance: &str, is_recovering: bool) {
-        let now = self.shared.now();
-        let mut fleet = self.shared.fleet();
-        let is_changed = if is_recovering {
-            fleet.record_missing(instance, now)
-        } else {
-            fleet.remove_instance(instance)
-        };
-        if is_changed {
-            log::info!(
-                instance = instance,
-                may_return = is_recovering;
-                "backend server left the list"
+                source:% = source,
+                adopted = is_adopted;
+                "configuration read"
             );
-        }
-    }
-}
-
-impl<C: Clock> Follower for Backends<C> {
-    const PREFIX: &'static str = SERVERS_PREFIX;
-
-    fn reset(&mut self, snapshot: Snapshot, is_recovering: bool) {
-        let listed: HashSet<&str> = snapshot
-            .items
-            .iter()
-            .filter_map(|item| item.key.strip_prefix(SERVERS_PREFIX))
-            .collect();
-        let missing: Vec<Arc<str>> = {
-            let fleet = self.shared.fleet();
-            let known = fleet.instances().filter(|i| !listed.contains(&***i));
-            known.cloned().collect()
-        };
-        for instance in missing {
-            self.delete(&instance, is_recovering);
-        }
-        for item in &snapshot.items {
-            self.put(item);
-        }
-        let mut replica = self.shared.replica();
-        replica.servers_revision = replica.servers_revision.max(snapshot.revision);
-        replica.servers = snapshot
-            .items
-            .into_iter()
-            .map(|item| (item.key.clone(), item))
-            .collect();
-        drop(replica);
-        self.shared.has_backends.send_replace(true);
-    }
-
-    fn apply(&mut self, change: Change, is_recovering: bool) {
-        match change {
-            Change::Put(item) => {
-                self.put(&item);
-                let mut replica = self.shared.replica();
-                replica.servers.insert(item.key.clone(), item);
-            }
-            Change::Deleted { key } => {
-                if let Some(instance) = key.strip_prefix(SERVERS_PREFIX) {
-                    self.delete(instance, is_recovering);
-                }
-                self.shared.replica().servers.remove(&key);
+            if is_adopted {
+                shared.replica().config = Some(item);
+                shared.load_changed().notify();
             }
         }
+        Err(e) => log::error!(revision = item.revision; "configuration not adopted: {e}"),
     }
+}
 
-    fn advance(&mut self, revision: u64) {
-        let mut replica = self.shared.replica();
-        replica.servers_revision = replica.servers_revision.max(revision);
-    }
-
-    fn learned_revision(&self) -> u64 {
-        self.shared.servers_revision()
+fn put_backend<C: Clock>(shared: &Shared<C>, instance: &str, item: &Item) {
+    let now = shared.now();
+    let Some(entry) = decode_backend_entry(instance, &item.value) else {
+        log::warn!(
+            instance = instance,
+            revision = item.revision;
+            "entry names no usable backend server"
+        );
+        shared.fleet().remove_instance(instance);
+        return;
+    };
+    let (service, is_draining) = (entry.service.clone(), entry.is_draining);
+    if shared.fleet().record_entry(entry, now) {
+        log::info!(
+            instance = instance,
+            service = &*service,
+            revision = item.revision,
+            draining = is_draining;
+            "backend server listed"
+        );
     }
+}
 
-    fn record_link(&mut self, is_away: bool) {
-        self.shared.set_store_away(is_away);
+fn delete<C: Clock>(shared: &Shared<C>, instance: &str) {
+    let now = shared.now();
+    let may_return = shared.link().is_recovering(now);
+    let mut fleet = shared.fleet();
+    let is_changed = if may_return {
+        fleet.record_missing(instance, now)
+    } else {
+        fleet.remove_instance(instance)
+    };
+    if is_changed {
+        log::info!(
+            instance = instance,
+            may_return = may_return;
+            "backend server left the list"
+        );
     }
 }
--- a/crates/cactusbarrow_net/src/error.rs
+++ b/crates/cactusbarrow_net/src/error.rs
@@ -13,6 +13,8 @@
     pub message: String,
     /// Whether no connection was made, so that nothing was sent.
     pub is_connect: bool,
+    /// Whether the peer refused the connection, so that nobody listens there.
+    pub is_refused: bool,
 }
 
 impl NetError {
@@ -23,6 +25,7 @@
             peer: peer.to_string(),
             message: message.to_string(),
             is_connect: false,
+            is_refused: false,
         }
     }
 }
--- a/crates/cactusbarrow_policy/src/backend_fleet.rs
+++ b/crates/cactusbarrow_policy/src/backend_fleet.rs
@@ -43,8 +43,11 @@
 pub struct FleetConfig {
     /// When a backend server with work is probed and given up.
     pub heartbeat: HeartbeatConfig,
-    /// How long an unreachable backend server gets no work.
+    /// How long a backend server gets no work after it refused a connection: it has ended,
+    /// and its next start has an entry of its own.
     pub refused_pause: Duration,
+    /// How long a backend server gets no work after a connection that took too long.
+    pub unreachable_pause: Duration,
     /// How long a silent backend server gets no work.
     pub silent_pause: Duration,
     /// How long an entry that vanished while the store was away is kept.
@@ -59,23 +62,36 @@
     pub memory_share: f64,
     /// Weight of the newest result in the failure rate of a backend server.
     pub failure_weight: f64,
+    /// Time in which a failure rate fades by half.
+    pub failure_half_life: Duration,
     /// Cost of a backend server that fails every call, in calls in flight.
     pub failure_cost: f64,
+    /// Cost of an engine that fails every generation, in prompt tokens.
+    pub engine_failure_cost: f64,
+    /// Failure rate from which other gateways are told.
+    pub avoided_from: f64,
+    /// Cost of an engine for each other gateway that avoids it, in prompt tokens.
+    pub avoider_cost: u64,
 }
 
 impl Default for FleetConfig {
     fn default() -> Self {
         Self {
             heartbeat: HeartbeatConfig::default(),
-            refused_pause: Duration::from_millis(500),
+            refused_pause: Duration::from_millis(2_500),
+            unreachable_pause: Duration::from_millis(500),
             silent_pause: Duration::from_millis(1_000),
             missing_grace: Duration::from_millis(1_800),
             running_cost: 4_000,
             zone_loss_cost: 20_000,
             zone_loss_memory: Duration::from_millis(1_500),
             memory_share: 0.9,
-            failure_weight: 0.2,
+            failure_weight: 0.4,
+            failure_half_life: Duration::from_secs(4),
             failure_cost: 8.0,
+            engine_failure_cost: 40_000.0,
+            avoided_from: 0.35,
+            avoider_cost: 15_000,
         }
     }
 }
@@ -98,14 +114,18 @@
     /// No work until then; afterwards only a probe or an answer brings it back.
     Down {
         until: Instant,
+        /// Whether another instance has its address.
+        is_replaced: bool,
     },
 }
 
 /// Why a backend server is taken for lost.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LossCause {
-    /// It refuses or resets connections.
+    /// It refuses connections.
     Refused,
+    /// No connection to it comes about in time.
+    Unreachable,
     /// It does not answer at all.
     Silent,
     /// Another instance answers at its address.
@@ -117,6 +137,7 @@
     pub fn reason(self) -> Reason {
         match self {
             Self::Refused => Reason::EngineLost,
+            Self::Unreachable => Reason::NotConnected,
             Self::Silent => Reason::Silent,
             Self::Replaced => Reason::OtherInstance,
         }
@@ -148,14 +169,46 @@
     copy_tokens: u64,
     remote_generations: u64,
     remote_unread_tokens: u64,
-    failure_rate: f64,
+    remote_memory_tokens: u64,
+    remote_avoiders: u64,
+    failures: FailureRate,
 }
 
+/// Share of failures among the newest results of a backend server; fades with time.
+#[derive(Clone, Copy, Debug, Default)]
+struct FailureRate {
+    value: f64,
+    at: Option<Instant>,
+}
+
+impl FailureRate {
+    /// Returns the share as it counts now.
+    fn now(&self, half_life: Duration, now: Instant) -> f64 {
+        let Some(at) = self.at else {
+            return 0.0;
+        };
+        let age = now.saturating_duration_since(at);
+        self.value * 0.5_f64.powf(age.as_secs_f64() / half_life.as_secs_f64())
+    }
+
+    fn record(&mut self, is_failure: bool, cfg: &FleetConfig, now: Instant) {
+        let before = self.now(cfg.failure_half_life, now);
+        let result = f64::from(u8::from(is_failure));
+        self.value = before + cfg.failure_weight * (result - before);
+        self.at = Some(now);
+    }
+}
+
+/// Gateways beyond which further ones that avoid an engine add nothing.
+const MAX_AVOIDERS: u64 = 4;
+
 /// A sign of life that is due, or a loss that was found.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HeartbeatAction {
     /// Ask the backend server for its report.
     Probe(BackendKey),
+    /// Ask a backend server that was lost which instance it is.
+    Identify(BackendKey),
     /// Its work has to go on elsewhere.
     Lost(BackendKey),
 }
@@ -207,12 +260,27 @@
             return is_changed;
         }
         self.remove_instance(&entry.instance);
+        self.retire_address(entry.address, now);
         let instance = entry.instance.clone();
         let key = self.backends.insert(Backend::new(entry, listing, now));
         self.by_instance.insert(instance, key);
         true
     }
 
+    /// Takes those that had an address before for replaced.
+    fn retire_address(&mut self, address: SocketAddr, now: Instant) {
+        let had_it = |(_, backend): &(BackendKey, &Backend)| backend.entry.address == address;
+        let keys: Vec<BackendKey> = self
+            .backends
+            .iter()
+            .filter(had_it)
+            .map(|(key, _)| key)
+            .collect();
+        for key in keys {
+            self.record_loss(key, LossCause::Replaced, now);
+        }
+    }
+
     /// Records that an entry was removed while the store was well.
     ///
     /// Returns whether the instance was known.
@@ -273,19 +341,25 @@
             let load = loads.get(&backend.instance_hash);
             backend.remote_generations = load.map_or(0, |load| load.generations);
             backend.remote_unread_tokens = load.map_or(0, |load| load.unread_tokens);
+            backend.remote_memory_tokens = load.map_or(0, |load| load.memory_tokens);
+            backend.remote_avoiders = load.map_or(0, |load| load.avoiders);
         }
     }
 
     /// Returns what this gateway has at backend servers that run generations for it.
-    pub fn own_loads(&self) -> impl Iterator<Item = PeerLoad> {
-        self.backends
-            .values()
-            .filter(|backend| backend.generations > 0)
-            .map(|backend| PeerLoad {
+    pub fn own_loads(&self, now: Instant) -> impl Iterator<Item = PeerLoad> {
+        self.backends.values().filter_map(move |backend| {
+            let is_avoided = backend.health != Health::Up
+                || backend.failures.now(self.cfg.failure_half_life, now) >= self.cfg.avoided_from;
+            let load = PeerLoad {
                 engine: backend.instance_hash,
                 generations: backend.generations as u64,
                 unread_tokens: backend.unread_tokens,
-            })
+                memory_tokens: backend.memory_tokens + backend.copy_tokens,
+                avoiders: is_avoided.into(),
+            };
+            (is_avoided || load.memory_tokens > 0).then_some(load)
+        })
     }
 
     /// Chooses the engine for a generation.
@@ -302,7 +376,11 @@
         self.choose(service, excluded, now, rng, fits, |b| {
             let running = b.generations as u64 + b.remote_generations;
             let unread = b.unread_tokens + b.remote_unread_tokens;
-            (unread + running * self.cfg.running_cost + self.zone_cost(&b.entry.zone, now)) as f64
+            let avoided = b.remote_avoiders.min(MAX_AVOIDERS) * self.cfg.avoider_cost;
+            let zone = self.zone_cost(&b.entry.zone, now);
+            let failures = b.failures.now(self.cfg.failure_half_life, now);
+            (unread + running * self.cfg.running_cost + avoided + zone) as f64
+                + failures * self.cfg.engine_failure_cost
         })
     }
 
@@ -325,7 +403,8 @@
         };
         self.choose(&engine.service, excluded, now, rng, is_usable, |b| {
             let running = (b.generations as u64 + b.remote_generations) * self.cfg.running_cost;
-            (running + b.copy_tokens + self.zone_cost(&b.entry.zone, now)) as f64
+            let avoided = b.remote_avoiders.min(MAX_AVOIDERS) * self.cfg.avoider_cost;
+            (running + b.copy_tokens + avoided + self.zone_cost(&b.entry.zone, now)) as f64
         })
     }
 
@@ -343,7 +422,10 @@
             now,
             rng,
             |_| true,
-            |b| b.in_flight as f64 + b.failure_rate * self.cfg.failure_cost,
+            |b| {
+                let failures = b.failures.now(self.cfg.failure_half_life, now);
+                b.in_flight as f64 + failures * self.cfg.failure_cost
+            },
         )
     }
 
@@ -449,18 +531,21 @@
         }
     }
 
-    /// Records the end of a call and whether its backend server failed it.
-    pub fn end_call(&mut self, key: BackendKey, is_failure: Option<bool>) {
+    /// Records the end of a call.
+    pub fn end_call(&mut self, key: BackendKey) {
         if let Some(backend) = self.backends.get_mut(key) {
             backend.in_flight = backend.in_flight.saturating_sub(1);
-            if let Some(is_failure) = is_failure {
-                let result = f64::from(u8::from(is_failure));
-                backend.failure_rate += self.cfg.failure_weight * (result - backend.failure_rate);
-            }
         }
         self.forget_if_idle(key);
     }
 
+    /// Records whether a backend server failed a request.
+    pub fn record_result(&mut self, key: BackendKey, is_failure: bool, now: Instant) {
+        if let Some(backend) = self.backends.get_mut(key) {
+            backend.failures.record(is_failure, &self.cfg, now);
+        }
+    }
+
     /// Records a sign of life; returns true if the backend server was taken for lost.
     pub fn record_heard(&mut self, key: BackendKey, now: Instant) -> bool {
         let Some(backend) = self.backends.get_mut(key) else {
@@ -476,6 +561,7 @@
     pub fn record_loss(&mut self, key: BackendKey, cause: LossCause, now: Instant) -> bool {
         let pause = match cause {
             LossCause::Refused => self.cfg.refused_pause,
+            LossCause::Unreachable => self.cfg.unreachable_pause,
             LossCause::Silent => self.cfg.silent_pause,
             // Only a new entry tells what its address is now.
             LossCause::Replaced => Duration::from_secs(3_600),
@@ -484,7 +570,11 @@
             return false;
         };
         let is_new = backend.health == Health::Up;
-        backend.health = Health::Down { until: now + pause };
+        let is_replaced = cause == LossCause::Replaced;
+        backend.health = Health::Down {
+            until: now + pause,
+            is_replaced,
+        };
         if is_new {
             let memory = self.cfg.zone_loss_memory;
             let losses = self
@@ -512,11 +602,15 @@
                         HeartbeatStep::Lost => actions.push(HeartbeatAction::Lost(key)),
                     }
                 }
-                Health::Down { until } if until <= now && backend.listing != Listing::Leaving => {
+                Health::Down {
+                    until,
+                    is_replaced: false,
+                } if until <= now && backend.listing != Listing::Leaving => {
                     backend.health = Health::Down {
                         until: now + self.cfg.silent_pause,
+                        is_replaced: false,
                     };
-                    actions.push(HeartbeatAction::Probe(key));
+                    actions.push(HeartbeatAction::Identify(key));
                 }
                 _ => {}
             }
@@ -557,7 +651,9 @@
             copy_tokens: 0,
             remote_generations: 0,
             remote_unread_tokens: 0,
-            failure_rate: 0.0,
+            remote_memory_tokens: 0,
+            remote_avoiders: 0,
+            failures: FailureRate::default(),
         }
     }
 
@@ -575,6 +671,9 @@
         };
         match self.health {
             Health::Up => Some(listed),
+            Health::Down {
+                is_replaced: false, ..
+            } => Some(2),
             Health::Down { .. } => None,
         }
     }
@@ -582,8 +681,8 @@
     /// Returns whether a generation fits into the engine's memory.
     fn fits(&self, capacity: u64, share: f64, tokens: u64) -> bool {
         let planned = (capacity as f64 * share) as u64;
-        let is_empty = self.generations == 0 && self.copy_tokens == 0;
-        capacity == 0 || is_empty || self.memory_tokens + self.copy_tokens + tokens <= planned
+        let used = self.memory_tokens + self.copy_tokens + self.remote_memory_tokens;
+        capacity == 0 || used == 0 || used + tokens <= planned
     }
 
     fn restart_if_idle(&mut self, now: Instant) {
--- a/crates/cactusbarrow_policy/src/lib.rs
+++ b/crates/cactusbarrow_policy/src/lib.rs
@@ -34,6 +34,7 @@
 mod suspicion;
 mod text;
 mod tokens;
+mod watch_duty;
 
 pub use adoption::{Adoption, Change, ChangeLog, Delta, DeltaError, Digest};
 pub use backend_fleet::{
@@ -71,3 +72,4 @@
 pub use suspicion::{Suspicion, SuspicionConfig};
 pub use text::Utf8Assembler;
 pub use tokens::TokenBuffer;
+pub use watch_duty::{StoreStanding, WatchDutyConfig, is_watcher};
--- a/crates/cactusbarrow_policy/src/peer_table.rs
+++ b/crates/cactusbarrow_policy/src/peer_table.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use crate::hash::{rendezvous_weight, stable_hash};
+use crate::watch_duty::StoreStanding;
 
 /// Tuning of [`PeerTable`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -38,7 +39,7 @@
 }
 
 /// What a peer has at one engine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PeerLoad {
     /// Hash of the engine's instance.
     pub engine: u64,
@@ -46,6 +47,10 @@
     pub generations: u64,
     /// Tokens of their prompts that are still to be read.
     pub unread_tokens: u64,
+    /// Tokens of memory that generations and copies grow to.
+    pub memory_tokens: u64,
+    /// Gateways that give the engine no work, because it failed.
+    pub avoiders: u64,
 }
 
 /// What a peer's heartbeat says.
@@ -63,6 +68,10 @@
     pub loads: Vec<PeerLoad>,
     /// Other gateways that it heard lately.
     pub peers: Vec<Ipv4Addr>,
+    /// Whether the platform's store answered its last call.
+    pub is_store_ok: bool,
+    /// Time since the store confirmed what it knows.
+    pub age: Duration,
 }
 
 #[derive(Clone, Debug)]
@@ -71,6 +80,12 @@
     heartbeat: PeerHeartbeat,
 }
 
+impl Peer {
+    fn age(&self, now: Instant) -> Duration {
+        self.heartbeat.age + now.saturating_duration_since(self.heard)
+    }
+}
+
 /// The gateways that are known besides the own one.
 #[derive(Clone, Debug)]
 pub struct PeerTable {
@@ -179,12 +194,13 @@
         for (_, peer) in self.alive(now) {
             for load in &peer.heartbeat.loads {
                 let entry = sum.entry(load.engine).or_insert(PeerLoad {
-                    generations: 0,
-                    unread_tokens: 0,
-                    ..*load
+                    engine: load.engine,
+                    ..PeerLoad::default()
                 });
                 entry.generations += load.generations;
                 entry.unread_tokens += load.unread_tokens;
+                entry.memory_tokens += load.memory_tokens;
+                entry.avoiders += load.avoiders;
             }
         }
         sum
@@ -206,6 +222,23 @@
             .map(|(ip, _)| *ip)
     }
 
+    /// Returns how the peers stand to the platform's store.
+    pub fn standings(&self, now: Instant) -> impl Iterator<Item = StoreStanding> + '_ {
+        self.alive(now).map(move |(ip, peer)| StoreStanding {
+            ip: *ip,
+            is_store_ok: peer.heartbeat.is_store_ok,
+            age: peer.age(now),
+        })
+    }
+
+    /// Returns the smallest age among peers that know no more than up to `revision`.
+    pub fn fresh_age(&self, revision: u64, now: Instant) -> Option<Duration> {
+        self.alive(now)
+            .filter(|(_, peer)| peer.heartbeat.servers_revision <= revision)
+            .map(|(_, peer)| peer.age(now))
+            .min()
+    }
+
     fn alive(&self, now: Instant) -> impl Iterator<Item = (&Ipv4Addr, &Peer)> {
         let timeout = self.cfg.load_timeout;
         self.peers
--- a/crates/cactusbarrow_policy/src/route_set.rs
+++ b/crates/cactusbarrow_policy/src/route_set.rs
@@ -105,6 +105,8 @@
     pub slots: u32,
     /// Tokens of KV memory of one engine; 0 for plain services.
     pub kv_capacity: u64,
+    /// Path at which a backend server tells its health and instance.
+    pub health_path: String,
     /// Whether engines copy the memory of a running generation to another engine.
     pub has_backups: bool,
 }
