Share one retry budget among gateways

Heartbeats tell what each gateway counted in the window; a retry is taken if all together have one left.

--- a/crates/cactusbarrow_gateway/src/peers.rs
+++ b/crates/cactusbarrow_gateway/src/peers.rs
@@ -7,9 +7,9 @@
 
 use cactusbarrow_adapter::Item;
 use cactusbarrow_net::{Body, Clock, HttpClient, HttpVersion, NetError, collect_limited};
-use cactusbarrow_policy::{PeerHeartbeat, PeerLoad};
+use cactusbarrow_policy::{PeerHeartbeat, PeerLoad, RetryCount};
 use cactusbarrow_protocol::generated::{
-    EngineLoad, GatewayHeartbeat, GatewayKnowledge, KnowledgeRequest, StoreItem,
+    EngineLoad, GatewayHeartbeat, GatewayKnowledge, KnowledgeRequest, RetryUse, StoreItem,
 };
 use http::{Method, Request, Response, StatusCode, Uri};
 use hyper::body::Incoming;
@@ -106,6 +106,7 @@
         servers_revision: shared.servers_revision(),
         loads: loads.iter().map(load_to_wire).collect(),
         peers: peers.iter().map(|ip| ip.to_bits()).collect(),
+        retries: shared.retry_counts(now).map(retries_to_wire).collect(),
         is_store_ok: standing.is_store_ok,
         age_ms: standing.age.as_millis().try_into().unwrap_or(u32::MAX),
     };
@@ -122,6 +123,22 @@
     }
 }
 
+fn retries_to_wire((service, count): (u64, RetryCount)) -> RetryUse {
+    RetryUse {
+        service,
+        requests: count.requests.try_into().unwrap_or(u32::MAX),
+        retries: count.retries.try_into().unwrap_or(u32::MAX),
+    }
+}
+
+fn retries_from_wire(wire: &RetryUse) -> (u64, RetryCount) {
+    let count = RetryCount {
+        requests: wire.requests.into(),
+        retries: wire.retries.into(),
+    };
+    (wire.service, count)
+}
+
 async fn receive<C: Clock>(shared: Arc<Shared<C>>, socket: Arc<UdpSocket>) {
     let mut buf = [0; MAX_HEARTBEAT_BYTES];
     loop {
@@ -151,6 +168,7 @@
         servers_revision: wire.servers_revision,
         loads: wire.loads.iter().map(load_from_wire).collect(),
         peers: wire.peers.into_iter().map(Ipv4Addr::from_bits).collect(),
+        retries: wire.retries.iter().map(retries_from_wire).collect(),
         is_store_ok: wire.is_store_ok,
         age: Duration::from_millis(wire.age_ms.into()),
     };
--- a/crates/cactusbarrow_gateway/src/shared.rs
+++ b/crates/cactusbarrow_gateway/src/shared.rs
@@ -8,9 +8,9 @@
 use cactusbarrow_adapter::{GatewaySettings, Item};
 use cactusbarrow_net::Clock;
 use cactusbarrow_policy::{
-    BackendFleet, BackendKey, FleetConfig, LossCause, PeerConfig, PeerTable, RetryBudget, Revision,
+    BackendFleet, BackendKey, FleetConfig, LossCause, PeerConfig, PeerTable, RetryCount, RetryLimits, RetryWindow, Revision,
     RouteSet, RouteSetCell, ServiceName, Shutdown, ShutdownConfig, StoreStanding, WatchDutyConfig,
-    is_watcher,
+    is_watcher, stable_hash,
 };
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -21,7 +21,7 @@
 use crate::store_sync::StoreLink;
 
 /// Share of the platform's retry budget that the gateways plan with.
-const BUDGET_SHARE: f64 = 0.85;
+const BUDGET_SHARE: f64 = 0.8;
 
 /// Gateways that are assumed before any was heard.
 const MIN_GATEWAYS: usize = 4;
@@ -68,7 +68,7 @@
     routes_version: watch::Sender<Revision>,
     fleet: Mutex<BackendFleet>,
     lost: Mutex<HashMap<BackendKey, CancellationToken>>,
-    budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
+    retries: Mutex<HashMap<ServiceName, RetryWindow>>,
     rng: Mutex<StdRng>,
     replica: Mutex<Replica>,
     peers: Mutex<PeerTable>,
@@ -109,7 +109,7 @@
             routes_version: watch::Sender::new(Revision(0)),
             fleet: Mutex::new(BackendFleet::new(FleetConfig::default())),
             lost: Mutex::default(),
-            budgets: Mutex::default(),
+            retries: Mutex::default(),
             rng: Mutex::new(StdRng::from_rng(&mut rand::rng())),
             shutdown: Mutex::new(shutdown),
             has_backends: watch::Sender::new(false),
@@ -187,13 +187,6 @@
         }
     }
 
-    /// Returns the number of gateways that share budgets, this one included.
-    fn gateways(&self) -> usize {
-        let now = self.now();
-        let heard = self.peers().heard(now).count() + 1;
-        heard.max(MIN_GATEWAYS)
-    }
-
     pub(crate) fn routes_version(&self) -> watch::Receiver<Revision> {
         self.routes_version.subscribe()
     }
@@ -267,23 +260,48 @@
 
     /// Records the first attempt of a request for a service.
     pub(crate) fn record_request(&self, service: &ServiceName) {
-        self.with_budget(service, RetryBudget::record_request);
+        let (limits, now) = (self.retry_limits(), self.now());
+        let mut windows = lock(&self.retries);
+        let window = windows.entry(service.clone()).or_default();
+        window.record_request(&limits, now);
     }
 
-    /// Takes one retry from the budget of a service.
+    /// Takes one retry from the budget that all gateways share for a service.
     pub(crate) fn try_retry(&self, service: &ServiceName) -> bool {
-        self.with_budget(service, RetryBudget::try_retry)
+        let (limits, now) = (self.retry_limits(), self.now());
+        let peers = self.peers().retries(stable_hash(service.as_bytes()), now);
+        let is_taken = {
+            let mut windows = lock(&self.retries);
+            let window = windows.entry(service.clone()).or_default();
+            window.try_retry(&limits, peers, now)
+        };
+        if is_taken {
+            self.load_changed.notify();
+        }
+        is_taken
+    }
+
+    /// Returns what was counted for each service, by the hash of its name.
+    pub(crate) fn retry_counts(&self, now: Instant) -> impl Iterator<Item = (u64, RetryCount)> {
+        let limits = self.retry_limits();
+        let mut windows = lock(&self.retries);
+        let counts: Vec<(u64, RetryCount)> = windows
+            .iter_mut()
+            .map(|(service, window)| (stable_hash(service.as_bytes()), window.count(&limits, now)))
+            .collect();
+        counts.into_iter()
     }
 
-    fn with_budget<T>(&self, service: &ServiceName, f: impl FnOnce(&mut RetryBudget) -> T) -> T {
-        let ratio = self.settings.retry_ratio * BUDGET_SHARE;
-        let saved = self.settings.retry_slack * BUDGET_SHARE / self.gateways() as f64;
-        let mut budgets = lock(&self.budgets);
-        let budget = budgets
-            .entry(service.clone())
-            .or_insert_with(|| RetryBudget::new(ratio, saved));
-        budget.set_max_saved(saved);
-        f(budget)
+    fn retry_limits(&self) -> RetryLimits {
+        let settings = &self.settings;
+        // Gateways that are not heard use the budget, too.
+        let heard = self.peers().heard(self.now()).count() + 1;
+        let share = (heard as f64 / MIN_GATEWAYS as f64).min(1.0) * BUDGET_SHARE;
+        RetryLimits {
+            window: settings.retry_window,
+            ratio: settings.retry_ratio * BUDGET_SHARE,
+            slack: settings.retry_slack * share,
+        }
     }
 
     pub(crate) fn elapsed_since(&self, at: Instant) -> Duration {
--- a/crates/cactusbarrow_policy/src/peer_table.rs
+++ b/crates/cactusbarrow_policy/src/peer_table.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use crate::hash::{rendezvous_weight, stable_hash};
+use crate::retry_window::RetryCount;
 use crate::watch_duty::StoreStanding;
 
 /// Tuning of [`PeerTable`].
@@ -68,6 +69,8 @@
     pub loads: Vec<PeerLoad>,
     /// Other gateways that it heard lately.
     pub peers: Vec<Ipv4Addr>,
+    /// Requests and retries of the last window, by hash of the service.
+    pub retries: Vec<(u64, RetryCount)>,
     /// Whether the platform's store answered its last call.
     pub is_store_ok: bool,
     /// Time since the store confirmed what it knows.
@@ -222,6 +225,17 @@
             .map(|(ip, _)| *ip)
     }
 
+    /// Returns what all peers counted for a service, by the hash of its name.
+    pub fn retries(&self, service: u64, now: Instant) -> RetryCount {
+        let mut sum = RetryCount::default();
+        for (_, peer) in self.alive(now) {
+            for (_, count) in peer.heartbeat.retries.iter().filter(|(s, _)| *s == service) {
+                sum += *count;
+            }
+        }
+        sum
+    }
+
     /// Returns how the peers stand to the platform's store.
     pub fn standings(&self, now: Instant) -> impl Iterator<Item = StoreStanding> + '_ {
         self.alive(now).map(move |(ip, peer)| StoreStanding {
--- a/crates/cactusbarrow_policy/src/retry.rs
+++ b/crates/cactusbarrow_policy/src/retry.rs
@@ -46,12 +46,6 @@
         }
     }
 
-    /// Changes how many retries are saved at most.
-    pub fn set_max_saved(&mut self, max_saved: f64) {
-        self.max_saved = max_saved;
-        self.saved = self.saved.min(max_saved);
-    }
-
     /// Records one request that is not a retry.
     pub fn record_request(&mut self) {
         self.saved = (self.saved + self.earned_per_request).min(self.max_saved);
