Copy a generation's memory again when the engine with its copy is lost

Cause: on the grown sites zones of engines end 3 s apart, so a third of the generations that had to go on found their copy gone (the holder's zone had ended before) and read the prompt again, 1.3 s or more of pause.

Losses, entries that leave, new entries at an old address and two gateways' word cancel the trust in a copy; the running engine is then ordered to copy the memory to another zone, and to renew that copy every 1.5 s.

--- a/crates/cactusbarrow_gateway/src/generation.rs
+++ b/crates/cactusbarrow_gateway/src/generation.rs
@@ -1,6 +1,7 @@
 //! Generations: a stream of events that goes on through the loss of its engine.
 
 mod attempt;
+mod copies;
 mod course;
 
 use cactusbarrow_net::{Body, BodySender, Clock};
--- a/crates/cactusbarrow_gateway/src/generation/attempt.rs
+++ b/crates/cactusbarrow_gateway/src/generation/attempt.rs
@@ -13,6 +13,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::AbortOnDropHandle;
 
+use super::copies::{Copies, Holder};
 use crate::exchange::{Connection, loss_cause};
 use crate::request::Admitted;
 use crate::shared::Shared;
@@ -28,7 +29,7 @@
     pub(crate) key: BackendKey,
     pub(crate) entry: BackendEntry,
     /// Engine that keeps a copy of the memory.
-    pub(crate) copy: Option<(BackendKey, BackendEntry)>,
+    pub(crate) holder: Option<Holder>,
     pub(crate) resume: Option<Resume>,
     pub(crate) work: BackendWork,
 }
@@ -37,7 +38,6 @@
 struct Place<C: Clock> {
     shared: Arc<Shared<C>>,
     key: BackendKey,
-    copy: Option<BackendKey>,
     work: BackendWork,
     is_prompt_read: bool,
 }
@@ -46,7 +46,7 @@
     fn drop(&mut self) {
         self.shared
             .fleet()
-            .end_generation(self.key, self.copy, self.work, self.is_prompt_read);
+            .end_generation(self.key, self.work, self.is_prompt_read);
         self.shared.load_changed().notify();
     }
 }
@@ -54,7 +54,7 @@
 /// How the start of an attempt went.
 pub(crate) enum Opened<C: Clock> {
     /// The engine sends events.
-    Streaming(Attempt<C>),
+    Streaming(Attempt<C>, Copies<C>),
     /// The engine answered something else.
     Answered(EngineAnswer, Bytes),
     /// There is no answer that can be used.
@@ -97,15 +97,13 @@
     ) -> Opened<C> {
         let shared = &req.shared;
         let lost = shared.lost_token(target.key);
-        let copy = target.copy.as_ref().map(|(key, _)| *key);
         shared
             .fleet()
-            .start_generation(target.key, copy, target.work, shared.now());
+            .start_generation(target.key, target.work, shared.now());
         shared.load_changed().notify();
         let place = Place {
             shared: shared.clone(),
             key: target.key,
-            copy,
             work: target.work,
             is_prompt_read: false,
         };
@@ -130,7 +128,7 @@
             priority: Some(req.priority),
             patience: req.time_left(),
             last_event_id,
-            backup: target.copy.as_ref().map(|(_, entry)| entry.address),
+            backup: target.holder.as_ref().map(|holder| holder.entry.address),
             resume: target.resume.clone(),
         };
         let send = conn.send("send generation", engine_request.encode());
@@ -155,7 +153,9 @@
         let (head, body, driver) = exchange.into_parts();
         let head = decode_engine_answer(head, &req.caller.request_id);
         if head.status.is_success() && head.is_own && head.is_signed && !head.is_encoded {
-            return Opened::Streaming(Self {
+            let engine = (target.key, target.entry.clone());
+            let copies = Copies::new(shared.clone(), engine, target.work, target.holder);
+            let attempt = Self {
                 key: target.key,
                 instance: target.entry.instance,
                 head,
@@ -164,11 +164,17 @@
                 cutter: EventCutter::default(),
                 lost,
                 _driver: driver,
-            });
+            };
+            return Opened::Streaming(attempt, copies);
         }
         judge_answer(req, target.key, head, body).await
     }
 
+    /// Returns whether the engine has read the prompt and sent an event.
+    pub(crate) fn has_started(&self) -> bool {
+        self.place.is_prompt_read
+    }
+
     /// Waits for the next event, at most until `until`.
     pub(crate) async fn next(&mut self, until: Instant) -> Received {
         loop {
--- a/crates/cactusbarrow_gateway/src/generation/course.rs
+++ b/crates/cactusbarrow_gateway/src/generation/course.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use cactusbarrow_adapter::{EngineAnswer, Resume};
+use cactusbarrow_adapter::EngineAnswer;
 use cactusbarrow_net::{Clock, RawEvent};
 use cactusbarrow_policy::{
     BackendEntry, BackendKey, BackendWork, Outcome, Reason, ResumeAction, ResumeEvent, ResumePlan,
@@ -12,6 +12,7 @@
 use http::HeaderMap;
 
 use super::attempt::{Attempt, Opened, Received, Target};
+use super::copies::{Copies, Holder};
 use crate::request::Admitted;
 
 /// Wait that a caller is told when no engine takes its generation.
@@ -48,7 +49,9 @@
     req: Admitted<C>,
     plan: ResumePlan,
     next_start: Start,
-    attempt: Option<Attempt<C>>,
+    attempt: Option<(Attempt<C>, Copies<C>)>,
+    /// Keeps the copy that the last attempt left.
+    holder: Option<Holder>,
     head: Option<HeaderMap>,
     last_event: Option<u64>,
     engines: u64,
@@ -62,6 +65,7 @@
             plan: ResumePlan::new(can_resume, req.attempts),
             next_start: Start::ReadPrompt,
             attempt: None,
+            holder: None,
             head: None,
             last_event: req.caller.last_event_id,
             engines: 0,
@@ -113,7 +117,7 @@
             if self.req.time_left().is_zero() {
                 return self.refused(Reason::RouteTimeout);
             }
-            let Some(attempt) = &mut self.attempt else {
+            let Some((attempt, copies)) = &mut self.attempt else {
                 match self.start().await {
                     Some(step) => return step,
                     None => continue,
@@ -124,7 +128,16 @@
                 Some(_) => self.req.pause_objective.unwrap_or(DEFAULT_PAUSE) * STALL_PAUSES,
             };
             let until = (self.req.shared.now() + patience).min(self.req.deadline);
-            let event = match attempt.next(until).await {
+            let has_started = attempt.has_started();
+            let received = tokio::select! {
+                biased;
+                received = attempt.next(until) => received,
+                news = copies.news(), if has_started => {
+                    copies.handle(news, &self.req.caller.request_id, self.plan.excluded());
+                    continue;
+                }
+            };
+            let event = match received {
                 Received::Event(event) => match self.accept(event) {
                     Ok(bytes) => return Step::Event(bytes),
                     Err(event) => event,
@@ -135,7 +148,11 @@
                 }
                 Received::Ended(event) => event,
             };
-            self.attempt = None;
+            if let Some((_, copies)) = self.attempt.take() {
+                self.holder = copies.holder().cloned();
+                let key = self.holder.as_ref().map(|holder| holder.key);
+                self.plan.record_copy(key);
+            }
             if let Some(step) = self.decide(event) {
                 return step;
             }
@@ -167,7 +184,7 @@
     }
 
     fn keep_head(&mut self) {
-        if let Some(attempt) = &self.attempt
+        if let Some((attempt, _)) = &self.attempt
             && self.event_at.is_none() | self.head.is_none()
         {
             self.head = Some(attempt.head.headers.clone());
@@ -185,22 +202,22 @@
             instance = &*target.entry.instance,
             peer:% = target.entry.address,
             zone = &*target.entry.zone,
-            copy = target.copy.as_ref().map_or("none", |(_, entry)| &*entry.instance),
+            copy = target.holder.as_ref().map_or("none", |h| &*h.entry.instance),
             from_copy = target.resume.is_some(),
             last_event = self.last_event(),
             attempt = self.engines,
             elapsed_ms = self.elapsed_ms();
             "generation placed"
         );
-        let copy = target.copy.as_ref().map(|(key, _)| *key);
+        let copy = target.holder.as_ref().map(|holder| holder.key);
         self.plan.record_start(target.key, copy);
         let timeout = self
             .req
             .time_left()
             .min(self.req.objective * FIRST_EVENT_OBJECTIVES);
         let event = match Attempt::open(&self.req, target, self.last_event, timeout).await {
-            Opened::Streaming(attempt) => {
-                self.attempt = Some(attempt);
+            Opened::Streaming(attempt, copies) => {
+                self.attempt = Some((attempt, copies));
                 return None;
             }
             Opened::Answered(head, body) => {
@@ -276,10 +293,10 @@
             Start::ReadPrompt => None,
             Start::FromCopy(holder) => entry_of(holder),
         };
-        let resume = holder.as_ref().map(|(_, entry)| Resume {
-            holder: entry.address,
-            copy: self.request_id().to_owned(),
-        });
+        let resume = holder
+            .as_ref()
+            .and(self.holder.as_ref())
+            .map(|holder| holder.resume(self.request_id()));
         let (key, entry) = match holder {
             Some(holder) => holder,
             None => fleet
@@ -292,13 +309,14 @@
             fleet
                 .choose_copy_holder(key, capacity, work, &excluded, now, rng)
                 .and_then(entry_of)
+                .map(|(key, entry)| Holder::of_backup(key, entry))
         } else {
             None
         };
         Some(Target {
             key,
             entry,
-            copy,
+            holder: copy,
             resume,
             work,
         })
--- a/crates/cactusbarrow_gateway/src/heartbeats.rs
+++ b/crates/cactusbarrow_gateway/src/heartbeats.rs
@@ -42,6 +42,7 @@
         for instance in shared.fleet().expire_missing(now) {
             log::info!(instance = &*instance; "entry did not come back after the outage");
         }
+        shared.announce_gone();
     }
 }
 
--- a/crates/cactusbarrow_gateway/src/peers.rs
+++ b/crates/cactusbarrow_gateway/src/peers.rs
@@ -180,6 +180,7 @@
         peers.loads(now)
     };
     shared.fleet().record_remote_loads(&loads);
+    shared.announce_gone();
 }
 
 fn load_from_wire(load: &EngineLoad) -> PeerLoad {
--- a/crates/cactusbarrow_gateway/src/shared.rs
+++ b/crates/cactusbarrow_gateway/src/shared.rs
@@ -8,9 +8,9 @@
 use cactusbarrow_adapter::{GatewaySettings, Item};
 use cactusbarrow_net::Clock;
 use cactusbarrow_policy::{
-    BackendFleet, BackendKey, FleetConfig, LossCause, PeerConfig, PeerTable, RetryCount, RetryLimits, RetryWindow, Revision,
-    RouteSet, RouteSetCell, ServiceName, Shutdown, ShutdownConfig, StoreStanding, WatchDutyConfig,
-    is_watcher, stable_hash,
+    BackendFleet, BackendKey, FleetConfig, LossCause, PeerConfig, PeerTable, RetryCount,
+    RetryLimits, RetryWindow, Revision, RouteSet, RouteSetCell, ServiceName, Shutdown,
+    ShutdownConfig, StoreStanding, WatchDutyConfig, is_watcher, stable_hash,
 };
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -68,6 +68,7 @@
     routes_version: watch::Sender<Revision>,
     fleet: Mutex<BackendFleet>,
     lost: Mutex<HashMap<BackendKey, CancellationToken>>,
+    gone: Mutex<HashMap<BackendKey, CancellationToken>>,
     retries: Mutex<HashMap<ServiceName, RetryWindow>>,
     rng: Mutex<StdRng>,
     replica: Mutex<Replica>,
@@ -109,6 +110,7 @@
             routes_version: watch::Sender::new(Revision(0)),
             fleet: Mutex::new(BackendFleet::new(FleetConfig::default())),
             lost: Mutex::default(),
+            gone: Mutex::default(),
             retries: Mutex::default(),
             rng: Mutex::new(StdRng::from_rng(&mut rand::rng())),
             shutdown: Mutex::new(shutdown),
@@ -211,6 +213,28 @@
         lock(&self.lost).entry(key).or_default().clone()
     }
 
+    /// Returns the token that is cancelled when copies kept by an engine are not to be
+    /// relied on any more.
+    pub(crate) fn gone_token(&self, key: BackendKey) -> CancellationToken {
+        lock(&self.gone).entry(key).or_default().clone()
+    }
+
+    /// Tells those that rely on copies of the engines that were lost or leave.
+    pub(crate) fn announce_gone(&self) {
+        let keys = self.fleet().take_gone();
+        let mut tokens = lock(&self.gone);
+        for token in keys.iter().filter_map(|key| tokens.remove(key)) {
+            token.cancel();
+        }
+    }
+
+    /// Returns the memory of one engine of a service, in tokens; 0 if not stated.
+    pub(crate) fn kv_capacity(&self, service: &ServiceName) -> u64 {
+        let routes = self.routes();
+        let spec = routes.as_ref().and_then(|set| set.services.get(service));
+        spec.map_or(0, |spec| spec.kv_capacity)
+    }
+
     /// Takes a backend server for lost, so that all its work goes on elsewhere.
     pub(crate) fn record_loss(&self, key: BackendKey, cause: LossCause, step: &'static str) {
         let is_new = self.fleet().record_loss(key, cause, self.now());
@@ -236,6 +260,7 @@
         }
         metrics::counter!("gateway_backend_losses_total", "reason" => cause.reason().as_str())
             .increment(1);
+        self.announce_gone();
         // A failed connection does not end the streams that the engine still sends.
         if matches!(cause, LossCause::Silent | LossCause::Replaced)
             && let Some(token) = lock(&self.lost).remove(&key)
--- a/crates/cactusbarrow_gateway/src/store_sync.rs
+++ b/crates/cactusbarrow_gateway/src/store_sync.rs
@@ -275,10 +275,13 @@
             "entry names no usable backend server"
         );
         shared.fleet().remove_instance(instance);
+        shared.announce_gone();
         return;
     };
     let (service, is_draining) = (entry.service.clone(), entry.is_draining);
-    if shared.fleet().record_entry(entry, now) {
+    let is_changed = shared.fleet().record_entry(entry, now);
+    shared.announce_gone();
+    if is_changed {
         log::info!(
             instance = instance,
             service = &*service,
@@ -298,6 +301,8 @@
     } else {
         fleet.remove_instance(instance)
     };
+    drop(fleet);
+    shared.announce_gone();
     if is_changed {
         log::info!(
             instance = instance,
--- a/crates/cactusbarrow_policy/src/backend_fleet.rs
+++ b/crates/cactusbarrow_policy/src/backend_fleet.rs
@@ -202,6 +202,10 @@
 /// Gateways beyond which further ones that avoid an engine add nothing.
 const MAX_AVOIDERS: u64 = 4;
 
+/// Gateways that have to avoid an engine before copies kept there are given up; one
+/// alone may be cut off itself.
+const CREDIBLE_AVOIDERS: u64 = 2;
+
 /// A sign of life that is due, or a loss that was found.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HeartbeatAction {
@@ -220,6 +224,7 @@
     backends: SlotMap<BackendKey, Backend>,
     by_instance: HashMap<Arc<str>, BackendKey>,
     zone_losses: HashMap<Arc<str>, Vec<Instant>>,
+    gone: Vec<BackendKey>,
 }
 
 impl BackendFleet {
@@ -255,6 +260,9 @@
             && backend.entry.address == entry.address
         {
             let is_changed = backend.listing != listing;
+            if is_changed && listing == Listing::Leaving {
+                self.gone.push(*key);
+            }
             backend.listing = listing;
             backend.entry = entry;
             return is_changed;
@@ -291,6 +299,7 @@
         if let Some(backend) = self.backends.get_mut(key) {
             backend.listing = Listing::Leaving;
         }
+        self.gone.push(key);
         self.forget_if_idle(key);
         true
     }
@@ -337,12 +346,16 @@
 
     /// Replaces what other gateways have at the backend servers, by hash of the instance.
     pub fn record_remote_loads(&mut self, loads: &HashMap<u64, PeerLoad>) {
-        for backend in self.backends.values_mut() {
+        for (key, backend) in &mut self.backends {
             let load = loads.get(&backend.instance_hash);
             backend.remote_generations = load.map_or(0, |load| load.generations);
             backend.remote_unread_tokens = load.map_or(0, |load| load.unread_tokens);
             backend.remote_memory_tokens = load.map_or(0, |load| load.memory_tokens);
-            backend.remote_avoiders = load.map_or(0, |load| load.avoiders);
+            let avoiders = load.map_or(0, |load| load.avoiders);
+            if avoiders >= CREDIBLE_AVOIDERS && backend.remote_avoiders < CREDIBLE_AVOIDERS {
+                self.gone.push(key);
+            }
+            backend.remote_avoiders = avoiders;
         }
     }
 
@@ -474,14 +487,8 @@
         }
     }
 
-    /// Records that a generation was sent to an engine, with a copy kept by another.
-    pub fn start_generation(
-        &mut self,
-        engine: BackendKey,
-        copy: Option<BackendKey>,
-        work: Work,
-        now: Instant,
-    ) {
+    /// Records that a generation was sent to an engine.
+    pub fn start_generation(&mut self, engine: BackendKey, work: Work, now: Instant) {
         if let Some(backend) = self.backends.get_mut(engine) {
             backend.restart_if_idle(now);
             backend.in_flight += 1;
@@ -489,9 +496,6 @@
             backend.unread_tokens += work.prompt_tokens;
             backend.memory_tokens += work.memory_tokens;
         }
-        if let Some(holder) = copy.and_then(|copy| self.backends.get_mut(copy)) {
-            holder.copy_tokens += work.memory_tokens;
-        }
     }
 
     /// Records that an engine has read a generation's prompt.
@@ -502,13 +506,7 @@
     }
 
     /// Records that a generation ended at an engine, in whatever way.
-    pub fn end_generation(
-        &mut self,
-        engine: BackendKey,
-        copy: Option<BackendKey>,
-        work: Work,
-        is_prompt_read: bool,
-    ) {
+    pub fn end_generation(&mut self, engine: BackendKey, work: Work, is_prompt_read: bool) {
         if !is_prompt_read {
             self.record_prompt_read(engine, work);
         }
@@ -517,12 +515,26 @@
             backend.generations = backend.generations.saturating_sub(1);
             backend.memory_tokens = backend.memory_tokens.saturating_sub(work.memory_tokens);
         }
-        if let Some(holder) = copy.and_then(|copy| self.backends.get_mut(copy)) {
-            holder.copy_tokens = holder.copy_tokens.saturating_sub(work.memory_tokens);
-        }
         self.forget_if_idle(engine);
     }
 
+    /// Records that an engine begins or ceases to keep a copy of a generation's memory.
+    pub fn record_copy(&mut self, holder: BackendKey, work: Work, is_held: bool) {
+        if let Some(backend) = self.backends.get_mut(holder) {
+            backend.copy_tokens = if is_held {
+                backend.copy_tokens + work.memory_tokens
+            } else {
+                backend.copy_tokens.saturating_sub(work.memory_tokens)
+            };
+        }
+    }
+
+    /// Returns the backend servers that were lost or began to leave since the last call,
+    /// so that copies kept there are not to be relied on.
+    pub fn take_gone(&mut self) -> Vec<BackendKey> {
+        std::mem::take(&mut self.gone)
+    }
+
     /// Records that a call was sent.
     pub fn start_call(&mut self, key: BackendKey, now: Instant) {
         if let Some(backend) = self.backends.get_mut(key) {
@@ -575,6 +587,9 @@
             until: now + pause,
             is_replaced,
         };
+        if is_new && cause != LossCause::Unreachable {
+            self.gone.push(key);
+        }
         if is_new {
             let memory = self.cfg.zone_loss_memory;
             let losses = self
--- a/crates/cactusbarrow_policy/src/lib.rs
+++ b/crates/cactusbarrow_policy/src/lib.rs
@@ -14,6 +14,7 @@
 mod choose;
 mod claim_page;
 mod claim_shard;
+mod copy_plan;
 mod gate;
 mod generation;
 mod generation_event;
@@ -48,6 +49,7 @@
 pub use claim_shard::{
     ClaimAction, ClaimConfig, ClaimEvent, ClaimRequest, ClaimShard, ClaimVerdict,
 };
+pub use copy_plan::{CopyAction, CopyConfig, CopyPlan};
 pub use gate::{DrainCause, Gate, GateConfig, Permit, Work};
 pub use generation::Generation;
 pub use generation_event::{
--- a/crates/cactusbarrow_policy/src/resume_plan.rs
+++ b/crates/cactusbarrow_policy/src/resume_plan.rs
@@ -113,6 +113,11 @@
         self.excluded.push(engine);
     }
 
+    /// Records which engine keeps a copy now.
+    pub fn record_copy(&mut self, holder: Option<BackendKey>) {
+        self.copy = holder;
+    }
+
     /// Decides what follows the end of an attempt.
     ///
     /// `has_progress` tells whether any event was delivered, `has_budget` whether the
