--- a/crates/cactusbarrow_gateway/src/heartbeats.rs
+++ b/crates/cactusbarrow_gateway/src/heartbeats.rs
@@ -12,7 +12,7 @@
 use crate::shared::Shared;
 
 /// Interval at which heartbeats are judged.
-const POLL_INTERVAL: Duration = Duration::from_millis(40);
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Longest wait for a report; the heartbeat's own limit is shorter.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(900);
--- a/crates/cactusbarrow_gateway/src/peers.rs
+++ b/crates/cactusbarrow_gateway/src/peers.rs
@@ -88,11 +88,8 @@
 fn encode<C: Clock>(shared: &Shared<C>, incarnation: u64, sequence: u64) -> Vec<u8> {
     let now = shared.now();
     let standing = shared.standing(now);
-    let loads = shared
-        .fleet()
-        .own_loads(now)
-        .take(MAX_LOADS)
-        .collect::<Vec<_>>();
+    let mut loads = shared.fleet().own_loads(now);
+    loads.truncate(MAX_LOADS);
     let peers = shared
         .peers()
         .heard(now)
--- a/crates/cactusbarrow_policy/src/backend_fleet.rs
+++ b/crates/cactusbarrow_policy/src/backend_fleet.rs
@@ -56,6 +56,8 @@
     pub running_cost: u64,
     /// Cost of a zone in which several backend servers were just lost, in prompt tokens.
     pub zone_loss_cost: u64,
+    /// Tokens of memory that make one engine a worse place for a copy than another.
+    pub copy_cost_step: u64,
     /// How long a loss counts against its zone.
     pub zone_loss_memory: Duration,
     /// Share of an engine's memory that is planned with.
@@ -84,6 +86,7 @@
             missing_grace: Duration::from_millis(1_800),
             running_cost: 4_000,
             zone_loss_cost: 20_000,
+            copy_cost_step: 8_000,
             zone_loss_memory: Duration::from_millis(1_500),
             memory_share: 0.9,
             failure_weight: 0.4,
@@ -360,19 +363,29 @@
     }
 
     /// Returns what this gateway has at backend servers that run generations for it.
-    pub fn own_loads(&self, now: Instant) -> impl Iterator<Item = PeerLoad> {
-        self.backends.values().filter_map(move |backend| {
-            let is_avoided = backend.health != Health::Up
-                || backend.failures.now(self.cfg.failure_half_life, now) >= self.cfg.avoided_from;
-            let load = PeerLoad {
+    ///
+    /// Those with generations come first, then those with copies, then those that are
+    /// avoided, so that a list that is cut keeps what matters most.
+    pub fn own_loads(&self, now: Instant) -> Vec<PeerLoad> {
+        let load_of = |backend: &Backend| {
+            let rate = backend.failures.now(self.cfg.failure_half_life, now);
+            let is_avoided = backend.is_suspended() || rate >= self.cfg.avoided_from;
+            PeerLoad {
                 engine: backend.instance_hash,
                 generations: backend.generations as u64,
                 unread_tokens: backend.unread_tokens,
                 memory_tokens: backend.memory_tokens + backend.copy_tokens,
                 avoiders: is_avoided.into(),
-            };
-            (is_avoided || load.memory_tokens > 0).then_some(load)
-        })
+            }
+        };
+        let mut loads: Vec<PeerLoad> = self
+            .backends
+            .values()
+            .map(load_of)
+            .filter(|load| load.avoiders > 0 || load.memory_tokens > 0)
+            .collect();
+        loads.sort_by_key(|load| std::cmp::Reverse((load.generations > 0, load.memory_tokens > 0)));
+        loads
     }
 
     /// Chooses the engine for a generation.
@@ -415,9 +428,10 @@
                 && b.fits(capacity, self.cfg.memory_share, work.memory_tokens)
         };
         self.choose(&engine.service, excluded, now, rng, is_usable, |b| {
-            let running = (b.generations as u64 + b.remote_generations) * self.cfg.running_cost;
             let avoided = b.remote_avoiders.min(MAX_AVOIDERS) * self.cfg.avoider_cost;
-            (running + b.copy_tokens + avoided + self.zone_cost(&b.entry.zone, now)) as f64
+            let cost = b.used_memory() + avoided + self.zone_cost(&b.entry.zone, now);
+            // Steps leave many equals, among which gateways choose at random.
+            (cost / self.cfg.copy_cost_step) as f64
         })
     }
 
@@ -672,6 +686,18 @@
         }
     }
 
+    /// Returns whether it gets no work for a while although its entry is in force.
+    fn is_suspended(&self) -> bool {
+        let is_lost = matches!(
+            self.health,
+            Health::Down {
+                is_replaced: false,
+                ..
+            }
+        );
+        is_lost && self.listing != Listing::Leaving
+    }
+
     /// Returns whether it is leaving, so that it gets no new work.
     pub fn is_leaving(&self) -> bool {
         self.listing == Listing::Leaving
@@ -696,10 +722,15 @@
     /// Returns whether a generation fits into the engine's memory.
     fn fits(&self, capacity: u64, share: f64, tokens: u64) -> bool {
         let planned = (capacity as f64 * share) as u64;
-        let used = self.memory_tokens + self.copy_tokens + self.remote_memory_tokens;
+        let used = self.used_memory();
         capacity == 0 || used == 0 || used + tokens <= planned
     }
 
+    /// Returns the tokens of memory that all gateways are known to have in use there.
+    fn used_memory(&self) -> u64 {
+        self.memory_tokens + self.copy_tokens + self.remote_memory_tokens
+    }
+
     fn restart_if_idle(&mut self, now: Instant) {
         if self.in_flight == 0 {
             self.heartbeat.restart(now);
--- a/crates/cactusbarrow_policy/src/copy_plan.rs
+++ b/crates/cactusbarrow_policy/src/copy_plan.rs
@@ -22,7 +22,7 @@
         Self {
             retry_wait: Duration::from_millis(300),
             max_failures: 3,
-            renew_after: Duration::from_millis(1_500),
+            renew_after: Duration::from_millis(800),
         }
     }
 }
--- a/crates/cactusbarrow_policy/src/heartbeat.rs
+++ b/crates/cactusbarrow_policy/src/heartbeat.rs
@@ -10,6 +10,9 @@
 pub struct HeartbeatConfig {
     /// Silence of all streams after which a probe is sent.
     pub quiet: Duration,
+    /// Wait for the answer to a probe after which a second one is sent: a single lost
+    /// packet delays a probe for longer than a resume may take.
+    pub second_probe: Duration,
     /// Longest wait for the answer to a probe.
     pub probe_timeout: Duration,
     /// Lateness of the process itself beyond which it does not judge others.
@@ -17,11 +20,12 @@
 }
 
 impl Default for HeartbeatConfig {
-    /// Quiet and probe timeout together leave 300 ms of a 700 ms pause for the resume.
+    /// Quiet and probe timeout together leave 350 ms of a 700 ms pause for the resume.
     fn default() -> Self {
         Self {
-            quiet: Duration::from_millis(200),
-            probe_timeout: Duration::from_millis(200),
+            quiet: Duration::from_millis(150),
+            second_probe: Duration::from_millis(70),
+            probe_timeout: Duration::from_millis(160),
             own_delay: Duration::from_millis(100),
         }
     }
@@ -43,6 +47,7 @@
 pub struct Heartbeat {
     heard: Instant,
     probed: Option<Instant>,
+    has_second: bool,
     polled: Instant,
 }
 
@@ -52,6 +57,7 @@
         Self {
             heard: now,
             probed: None,
+            has_second: false,
             polled: now,
         }
     }
@@ -86,9 +92,16 @@
             Some(at) if now.saturating_duration_since(at) >= cfg.probe_timeout => {
                 HeartbeatStep::Lost
             }
+            Some(at)
+                if !self.has_second && now.saturating_duration_since(at) >= cfg.second_probe =>
+            {
+                self.has_second = true;
+                HeartbeatStep::Probe
+            }
             Some(_) => HeartbeatStep::Wait,
             None if self.silence(now) >= cfg.quiet => {
                 self.probed = Some(now);
+                self.has_second = false;
                 HeartbeatStep::Probe
             }
             None => HeartbeatStep::Wait,
