Test the gateway's decisions by the load patterns they answer

Placement of many gateways after a zone loss, engines that fail at once, memory shared by copies, budgets and watch duty over all gateways, calls that may run once, resumes, rolling restarts.

--- a/crates/cactusbarrow_policy/src/backend_fleet.rs
+++ b/crates/cactusbarrow_policy/src/backend_fleet.rs
@@ -244,6 +244,11 @@
         self.backends.get(key)
     }
 
+    /// Returns the key of a listed instance.
+    pub fn key_of(&self, instance: &str) -> Option<BackendKey> {
+        self.by_instance.get(instance).copied()
+    }
+
     /// Returns the number of backend servers that are listed as ready.
     pub fn ready_count(&self) -> usize {
         let is_ready = |backend: &&Backend| backend.listing == Listing::Ready;
--- /dev/null
+++ b/crates/cactusbarrow_policy/tests/backend_fleet.rs
@@ -0,0 +1,347 @@
+//! Who gets work: drains, losses, and placement at the worst load.
+
+mod common;
+
+use std::collections::HashMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::{Duration, Instant};
+
+use cactusbarrow_policy::{
+    BackendEntry, BackendFleet, BackendKey, BackendWork, FleetConfig, HeartbeatAction, LossCause,
+    PeerLoad,
+};
+use common::fixed;
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+const SERVICE: &str = "draft";
+const CAPACITY: u64 = 55_000;
+const PROMPT: BackendWork = BackendWork {
+    prompt_tokens: 5_000,
+    memory_tokens: 6_500,
+};
+
+fn entry(i: usize, zones: usize) -> BackendEntry {
+    BackendEntry {
+        instance: format!("i-{i}").into(),
+        service: SERVICE.into(),
+        address: SocketAddr::from((Ipv4Addr::new(10, 0, 1, i as u8), 8_000)),
+        zone: format!("zone-{}", i % zones).into(),
+        slots: 32,
+        is_draining: false,
+        incarnation: 1,
+    }
+}
+
+fn fleet(count: usize, zones: usize, now: Instant) -> BackendFleet {
+    let mut fleet = BackendFleet::new(FleetConfig::default());
+    for i in 0..count {
+        assert!(fleet.record_entry(entry(i, zones), now));
+    }
+    fleet
+}
+
+fn rng(seed: u64) -> StdRng {
+    StdRng::seed_from_u64(seed)
+}
+
+fn choose(fleet: &BackendFleet, now: Instant, rng: &mut StdRng) -> Option<BackendKey> {
+    fleet.choose_engine(SERVICE, CAPACITY, PROMPT, &[], now, rng)
+}
+
+fn instance(fleet: &BackendFleet, key: BackendKey) -> String {
+    let backend = fleet.get(key).expect("the key was just chosen");
+    backend.entry.instance.to_string()
+}
+
+#[test]
+fn an_engine_that_leaves_gets_no_work() {
+    let now = Instant::now();
+    let mut fleet = fleet(2, 1, now);
+    let draining = BackendEntry {
+        is_draining: true,
+        ..entry(0, 1)
+    };
+    fleet.record_entry(draining, now);
+    for seed in 0..50 {
+        let key = choose(&fleet, now, &mut rng(seed)).expect("one engine is left");
+        assert_eq!(instance(&fleet, key), "i-1");
+    }
+    fleet.remove_instance("i-1");
+    assert_eq!(choose(&fleet, now, &mut rng(0)), None);
+}
+
+#[test]
+fn an_entry_that_lapsed_in_an_outage_is_kept_for_a_while() {
+    let now = Instant::now();
+    let grace = FleetConfig::default().missing_grace;
+    let mut fleet = fleet(1, 1, now);
+    assert!(fleet.record_missing("i-0", now));
+    assert!(choose(&fleet, now, &mut rng(0)).is_some());
+    assert_eq!(choose(&fleet, now + grace, &mut rng(0)), None, "it is gone");
+    assert_eq!(fleet.expire_missing(now + grace).len(), 1);
+    fleet.record_entry(entry(0, 1), now + grace);
+    assert!(
+        choose(&fleet, now + grace, &mut rng(0)).is_some(),
+        "it is back"
+    );
+}
+
+#[test]
+fn a_new_instance_at_an_address_retires_the_old_one() {
+    let now = Instant::now();
+    let mut fleet = fleet(1, 1, now);
+    let next = BackendEntry {
+        instance: "i-next".into(),
+        ..entry(0, 1)
+    };
+    fleet.record_entry(next, now);
+    for seed in 0..50 {
+        let key = choose(&fleet, now, &mut rng(seed)).expect("the new instance is there");
+        assert_eq!(instance(&fleet, key), "i-next");
+    }
+    assert_eq!(
+        fleet.take_gone().len(),
+        1,
+        "copies kept by the old one are gone"
+    );
+}
+
+#[test]
+fn an_engine_that_starts_again_under_its_id_holds_nothing_of_before() {
+    let now = Instant::now();
+    let mut fleet = fleet(1, 1, now);
+    let before = choose(&fleet, now, &mut rng(0)).expect("one engine");
+    fleet.start_generation(before, PROMPT, now);
+    let again = BackendEntry {
+        incarnation: 2,
+        ..entry(0, 1)
+    };
+    assert!(fleet.record_entry(again, now));
+    let after = choose(&fleet, now, &mut rng(0)).expect("one engine");
+    assert_ne!(before, after);
+}
+
+#[test]
+fn a_lost_engine_is_a_last_resort_until_it_tells_its_instance() {
+    let now = Instant::now();
+    let mut fleet = fleet(2, 1, now);
+    let key = choose(&fleet, now, &mut rng(0)).expect("two engines");
+    let lost = instance(&fleet, key);
+    assert!(fleet.record_loss(key, LossCause::Silent, now));
+    for seed in 0..50 {
+        let other = choose(&fleet, now, &mut rng(seed)).expect("one engine is left");
+        assert_ne!(instance(&fleet, other), lost);
+    }
+    let later = now + FleetConfig::default().silent_pause;
+    let actions = fleet.poll_heartbeats(later);
+    assert_eq!(actions, [HeartbeatAction::Identify(key)]);
+    assert!(fleet.record_heard(key, later));
+    let chosen: Vec<_> = (0..50)
+        .filter_map(|seed| choose(&fleet, later, &mut rng(seed)))
+        .collect();
+    assert!(chosen.contains(&key));
+}
+
+#[test]
+fn idle_engines_are_not_probed() {
+    let now = Instant::now();
+    let mut fleet = fleet(4, 2, now);
+    for tick in 1..100_u32 {
+        let at = now + Duration::from_millis(20) * tick;
+        assert!(fleet.poll_heartbeats(at).is_empty());
+    }
+}
+
+/// Load pattern: some engines answer every prompt with an error at once, so they look
+/// idle and would draw all prompts.
+#[test]
+fn an_engine_that_fails_at_once_does_not_draw_all_prompts() {
+    let now = Instant::now();
+    let mut fleet = fleet(20, 4, now);
+    let mut rng = rng(1);
+    let mut failed = 0;
+    let mut running = std::collections::VecDeque::new();
+    for i in 0..200_u32 {
+        let at = now + Duration::from_millis(200) * i;
+        while let Some((end, key)) = running.front().copied()
+            && end <= at
+        {
+            fleet.end_generation(key, PROMPT, true);
+            running.pop_front();
+        }
+        let key = choose(&fleet, at, &mut rng).expect("there are engines");
+        let is_faulty = ["i-0", "i-1"].contains(&instance(&fleet, key).as_str());
+        failed += u32::from(is_faulty);
+        fleet.start_generation(key, PROMPT, at);
+        fleet.record_result(key, is_faulty, at);
+        if is_faulty {
+            fleet.end_generation(key, PROMPT, false);
+        } else {
+            fleet.record_prompt_read(key, PROMPT);
+            running.push_back((at + Duration::from_secs(6), key));
+        }
+    }
+    // By its share of the engines alone a tenth would fail.
+    assert!(
+        failed <= 10,
+        "{failed} of 200 prompts went to engines that fail"
+    );
+}
+
+/// Places prompts from many gateways in turn; returns the most that met at one engine.
+fn most_at_one_engine(has_word_of_others: bool, seed: u64) -> usize {
+    const GATEWAYS: usize = 27;
+    const PROMPTS: usize = 54;
+    let now = Instant::now();
+    let mut rng = rng(seed);
+    let mut fleets: Vec<_> = (0..GATEWAYS).map(|_| fleet(98, 4, now)).collect();
+    for fleet in &mut fleets {
+        for i in (0..98).step_by(4) {
+            let key = fleet.key_of(&format!("i-{i}")).expect("it is listed");
+            fleet.record_loss(key, LossCause::Refused, now);
+        }
+    }
+    let mut at_engine: HashMap<String, usize> = HashMap::new();
+    for i in 0..PROMPTS {
+        if has_word_of_others {
+            let mut loads: HashMap<u64, PeerLoad> = HashMap::new();
+            for (j, fleet) in fleets.iter().enumerate() {
+                for load in fleet
+                    .own_loads(now)
+                    .into_iter()
+                    .filter(|_| j != i % GATEWAYS)
+                {
+                    let sum = loads.entry(load.engine).or_default();
+                    sum.generations += load.generations;
+                    sum.unread_tokens += load.unread_tokens;
+                    sum.memory_tokens += load.memory_tokens;
+                }
+            }
+            fleets[i % GATEWAYS].record_remote_loads(&loads);
+        }
+        let fleet = &mut fleets[i % GATEWAYS];
+        let key = choose(fleet, now, &mut rng).expect("three zones are left");
+        *at_engine.entry(instance(fleet, key)).or_default() += 1;
+        fleet.start_generation(key, PROMPT, now);
+    }
+    at_engine.into_values().max().unwrap_or(0)
+}
+
+/// Load pattern: a zone of engines ends and many gateways place prompts on the rest.
+#[test]
+fn gateways_that_hear_of_each_other_do_not_meet_at_one_engine() {
+    let alone: usize = (0..5).map(|seed| most_at_one_engine(false, seed)).sum();
+    let together: usize = (0..5).map(|seed| most_at_one_engine(true, seed)).sum();
+    assert_eq!(together, 5, "54 prompts find 73 engines, one each");
+    assert!(
+        alone > together,
+        "least local load lets {alone} meet in 5 runs"
+    );
+}
+
+/// Load pattern: memory is short because each generation lies at two engines.
+#[test]
+fn copies_go_where_memory_is_free() {
+    let now = Instant::now();
+    let mut fleet = fleet(12, 3, now);
+    let mut rng = rng(3);
+    let mut copies: HashMap<BackendKey, u64> = HashMap::new();
+    for _ in 0..24 {
+        let engine = choose(&fleet, now, &mut rng).expect("there is room");
+        fleet.start_generation(engine, PROMPT, now);
+        let holder = fleet
+            .choose_copy_holder(engine, CAPACITY, PROMPT, &[engine], now, &mut rng)
+            .expect("there is room in another zone");
+        let zone = |key| fleet.get(key).map(|b| b.entry.zone.clone());
+        assert_ne!(zone(engine), zone(holder));
+        fleet.record_copy(holder, PROMPT, true);
+        *copies.entry(holder).or_default() += 1;
+    }
+    let most = copies.values().max().copied().unwrap_or(0);
+    assert!(most <= 4, "{most} of 24 copies lie at one of 12 engines");
+}
+
+#[test]
+fn a_full_engine_is_not_chosen() {
+    let now = Instant::now();
+    let mut fleet = fleet(1, 1, now);
+    let mut placed = 0;
+    while let Some(key) = choose(&fleet, now, &mut rng(placed)) {
+        fleet.start_generation(key, PROMPT, now);
+        placed += 1;
+    }
+    assert_eq!(
+        placed, 7,
+        "7 times 6,500 tokens fit into nine tenths of 55,000"
+    );
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Op {
+    List(usize, bool, u64),
+    Remove(usize),
+    Missing(usize),
+    Lose(usize),
+    Start,
+    Wait(u64),
+}
+
+fn op() -> impl Strategy<Value = Op> {
+    prop_oneof![
+        (0..6_usize, any::<bool>(), 1..3_u64).prop_map(|(i, d, b)| Op::List(i, d, b)),
+        (0..6_usize).prop_map(Op::Remove),
+        (0..6_usize).prop_map(Op::Missing),
+        (0..6_usize).prop_map(Op::Lose),
+        Just(Op::Start),
+        (0..3_000_u64).prop_map(Op::Wait),
+    ]
+}
+
+proptest! {
+    #![proptest_config(fixed(1_000))]
+
+    #[test]
+    fn only_listed_instances_get_work(ops in prop::collection::vec(op(), 1..60), seed in any::<u64>()) {
+        let mut now = Instant::now();
+        let mut rng = rng(seed);
+        let mut fleet = BackendFleet::new(FleetConfig::default());
+        // Whether each instance may get work, by the entries alone.
+        let mut is_usable = [false; 6];
+        for op in ops {
+            match op {
+                Op::List(i, is_draining, incarnation) => {
+                    let listed = BackendEntry { is_draining, incarnation, ..entry(i, 2) };
+                    fleet.record_entry(listed, now);
+                    is_usable[i] = !is_draining;
+                }
+                Op::Remove(i) => {
+                    fleet.remove_instance(&format!("i-{i}"));
+                    is_usable[i] = false;
+                }
+                Op::Missing(i) => {
+                    fleet.record_missing(&format!("i-{i}"), now);
+                }
+                Op::Lose(_) | Op::Start => {
+                    if let Some(key) = choose(&fleet, now, &mut rng) {
+                        let name = instance(&fleet, key);
+                        let i: usize = name[2..].parse().expect("names end in a number");
+                        prop_assert!(is_usable[i], "{} was chosen", name);
+                        match op {
+                            Op::Lose(_) => drop(fleet.record_loss(key, LossCause::Refused, now)),
+                            _ => fleet.start_generation(key, PROMPT, now),
+                        }
+                    }
+                }
+                Op::Wait(ms) => {
+                    now += Duration::from_millis(ms);
+                    for gone in fleet.expire_missing(now) {
+                        let i: usize = gone[2..].parse().expect("names end in a number");
+                        is_usable[i] = false;
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/cactusbarrow_policy/tests/call_plan.rs
@@ -0,0 +1,85 @@
+//! Calls: what may run once runs once, and "not run" is true.
+
+mod common;
+
+use cactusbarrow_policy::{BackendKey, CallAction, CallEvent, CallPlan, Outcome, Reason};
+use common::fixed;
+use proptest::prelude::*;
+use slotmap::SlotMap;
+
+fn keys(count: usize) -> Vec<BackendKey> {
+    let mut map: SlotMap<BackendKey, ()> = SlotMap::with_key();
+    (0..count).map(|_| map.insert(())).collect()
+}
+
+fn event() -> impl Strategy<Value = CallEvent> {
+    prop_oneof![
+        Just(CallEvent::NotConnected),
+        Just(CallEvent::NotExecuted),
+        Just(CallEvent::Answered { is_failure: true }),
+        Just(CallEvent::Answered { is_failure: false }),
+        Just(CallEvent::Broken),
+        Just(CallEvent::Stalled),
+    ]
+}
+
+fn may_have_run(event: CallEvent) -> bool {
+    !matches!(event, CallEvent::NotConnected | CallEvent::NotExecuted)
+}
+
+proptest! {
+    #![proptest_config(fixed(2_000))]
+
+    #[test]
+    fn a_call_runs_no_more_often_than_allowed(
+        is_repeatable in any::<bool>(),
+        attempts in 1..4_u32,
+        events in prop::collection::vec((event(), any::<bool>()), 1..20),
+    ) {
+        let keys = keys(events.len());
+        let mut plan = CallPlan::new(is_repeatable, attempts);
+        let mut ran = 0;
+        for (key, (event, has_budget)) in keys.into_iter().zip(events) {
+            plan.record_send(key);
+            ran += u32::from(may_have_run(event));
+            match plan.decide(event, has_budget) {
+                CallAction::Send => {}
+                CallAction::Deliver => {
+                    let is_answer = matches!(event, CallEvent::Answered { .. });
+                    prop_assert!(is_answer);
+                    break;
+                }
+                CallAction::Refuse { outcome, .. } => {
+                    prop_assert_eq!(outcome == Outcome::NotRun, ran == 0);
+                    break;
+                }
+            }
+        }
+        let allowed = if is_repeatable { attempts } else { 1 };
+        prop_assert!(ran <= allowed, "ran {} of {}", ran, allowed);
+    }
+}
+
+#[test]
+fn a_call_whose_answer_is_awaited_is_not_told_as_not_run() {
+    let mut plan = CallPlan::new(false, 1);
+    plan.record_send(keys(1)[0]);
+    let refused = plan.refuse(Reason::RouteTimeout);
+    let expected = CallAction::Refuse {
+        outcome: Outcome::Unknown,
+        reason: Reason::RouteTimeout,
+    };
+    assert_eq!(refused, expected);
+}
+
+#[test]
+fn a_failure_goes_to_another_backend_server_only_within_the_budget() {
+    let failure = CallEvent::Answered { is_failure: true };
+    let keys = keys(2);
+    let mut plan = CallPlan::new(true, 2);
+    plan.record_send(keys[0]);
+    assert_eq!(plan.clone().decide(failure, false), CallAction::Deliver);
+    assert_eq!(plan.decide(failure, true), CallAction::Send);
+    plan.record_send(keys[1]);
+    assert_eq!(plan.decide(failure, true), CallAction::Deliver);
+}
--- /dev/null
+++ b/crates/cactusbarrow_policy/tests/gateways.rs
@@ -0,0 +1,177 @@
+//! What gateways share: retries, the duty to watch, word of each other's loads.
+
+mod common;
+
+use std::net::Ipv4Addr;
+use std::time::{Duration, Instant};
+
+use cactusbarrow_policy::{
+    PeerConfig, PeerHeartbeat, PeerLoad, PeerTable, RetryCount, RetryLimits, RetryWindow,
+    StoreStanding, WatchDutyConfig, is_watcher,
+};
+use common::fixed;
+use proptest::prelude::*;
+
+const FRESH: Duration = Duration::from_millis(100);
+
+fn ip(i: usize) -> Ipv4Addr {
+    Ipv4Addr::new(10, (i / 8) as u8, 0, (i % 8) as u8 + 1)
+}
+
+fn standing(i: usize, is_store_ok: bool, age: Duration) -> StoreStanding {
+    StoreStanding {
+        ip: ip(i),
+        is_store_ok,
+        age,
+    }
+}
+
+fn watchers(standings: &[StoreStanding]) -> Vec<usize> {
+    let cfg = WatchDutyConfig::default();
+    let mut watchers = Vec::new();
+    for (i, own) in standings.iter().enumerate() {
+        let mut peers = standings.to_vec();
+        peers.remove(i);
+        if is_watcher(&cfg, own, &peers) {
+            watchers.push(i);
+        }
+    }
+    watchers
+}
+
+#[test]
+fn a_few_gateways_watch_for_all() {
+    let standings: Vec<_> = (0..30).map(|i| standing(i, true, FRESH)).collect();
+    assert_eq!(
+        watchers(&standings).len(),
+        WatchDutyConfig::default().watchers
+    );
+}
+
+#[test]
+fn gateways_that_know_nothing_watch_by_themselves() {
+    let stale = Duration::from_secs(60);
+    let standings: Vec<_> = (0..5).map(|i| standing(i, true, stale)).collect();
+    assert_eq!(watchers(&standings).len(), 5);
+}
+
+proptest! {
+    #![proptest_config(fixed(500))]
+
+    /// Load pattern: the store turns some hosts away and serves the others.
+    #[test]
+    fn where_the_store_serves_anyone_someone_watches(
+        links in prop::collection::vec((any::<bool>(), 0..5_000_u64), 1..40),
+    ) {
+        let standings: Vec<_> = links
+            .iter()
+            .enumerate()
+            .map(|(i, (is_ok, age))| standing(i, *is_ok, Duration::from_millis(*age)))
+            .collect();
+        let watching = watchers(&standings);
+        let served = links.iter().any(|(is_ok, _)| *is_ok);
+        if served {
+            prop_assert!(watching.iter().any(|i| links[*i].0), "{:?}", watching);
+        }
+    }
+
+    /// Load pattern: a zone of engines ends and all gateways retry at the same moment,
+    /// each knowing what the others had used before.
+    #[test]
+    fn retries_of_all_gateways_stay_within_the_budget(
+        requests in prop::collection::vec(0..60_u64, 2..30),
+        wanted in 0..30_u64,
+    ) {
+        let limits = RetryLimits {
+            window: Duration::from_secs(10),
+            ratio: 0.64,
+            slack: 120.0,
+        };
+        let now = Instant::now();
+        let mut windows = vec![RetryWindow::default(); requests.len()];
+        for (window, requests) in windows.iter_mut().zip(&requests) {
+            for _ in 0..*requests {
+                window.record_request(&limits, now);
+            }
+        }
+        for _ in 0..wanted {
+            for i in 0..windows.len() {
+                let mut peers = RetryCount::default();
+                for (j, window) in windows.iter_mut().enumerate() {
+                    if i != j {
+                        peers += window.count(&limits, now);
+                    }
+                }
+                windows[i].try_retry(&limits, peers, now);
+            }
+        }
+        let mut all = RetryCount::default();
+        for window in &mut windows {
+            all += window.count(&limits, now);
+        }
+        let allowed = limits.ratio * all.requests as f64 + limits.slack;
+        prop_assert!(all.retries as f64 <= allowed);
+    }
+}
+
+#[test]
+fn what_was_counted_leaves_the_window() {
+    let limits = RetryLimits {
+        window: Duration::from_secs(10),
+        ratio: 0.0,
+        slack: 1.0,
+    };
+    let now = Instant::now();
+    let mut window = RetryWindow::default();
+    assert!(window.try_retry(&limits, RetryCount::default(), now));
+    let later = now + Duration::from_secs(5);
+    assert!(!window.try_retry(&limits, RetryCount::default(), later));
+    let after = now + Duration::from_secs(11);
+    assert!(window.try_retry(&limits, RetryCount::default(), after));
+}
+
+fn heartbeat(sequence: u64, generations: u64) -> PeerHeartbeat {
+    PeerHeartbeat {
+        incarnation: 1,
+        sequence,
+        loads: vec![PeerLoad {
+            engine: 7,
+            generations,
+            ..PeerLoad::default()
+        }],
+        ..PeerHeartbeat::default()
+    }
+}
+
+#[test]
+fn loads_of_peers_add_up_and_fade() {
+    let now = Instant::now();
+    let mut table = PeerTable::new(PeerConfig::default(), ip(0), &[]);
+    assert!(table.record(ip(1), heartbeat(1, 2), now));
+    assert!(table.record(ip(2), heartbeat(1, 3), now));
+    assert_eq!(table.loads(now)[&7].generations, 5);
+    assert!(
+        !table.record(ip(1), heartbeat(1, 9), now),
+        "an old datagram came late"
+    );
+    let later = now + PeerConfig::default().load_timeout;
+    assert!(
+        table.loads(later).is_empty(),
+        "a gateway that ended has no load"
+    );
+}
+
+#[test]
+fn gateways_find_each_other_through_one_seed() {
+    let now = Instant::now();
+    let mut table = PeerTable::new(PeerConfig::default(), ip(0), &[ip(1)]);
+    assert_eq!(table.poll(now), [ip(1)]);
+    let named = PeerHeartbeat {
+        peers: vec![ip(2), ip(0)],
+        ..heartbeat(1, 0)
+    };
+    table.record(ip(1), named, now);
+    let mut targets = table.poll(now + PeerConfig::default().interval);
+    targets.sort_unstable();
+    assert_eq!(targets, [ip(1), ip(2)]);
+}
--- /dev/null
+++ b/crates/cactusbarrow_policy/tests/heartbeat.rs
@@ -0,0 +1,76 @@
+//! Heartbeats of backend servers: probes, losses and the process's own delays.
+
+use std::time::{Duration, Instant};
+
+use cactusbarrow_policy::{Heartbeat, HeartbeatConfig, HeartbeatStep};
+
+const POLL: Duration = Duration::from_millis(20);
+
+/// Polls until something other than waiting is decided, or `limit` is over.
+fn next_step(
+    heartbeat: &mut Heartbeat,
+    cfg: &HeartbeatConfig,
+    from: Instant,
+    limit: Duration,
+) -> (HeartbeatStep, Duration) {
+    let mut at = Duration::ZERO;
+    while at < limit {
+        at += POLL;
+        let step = heartbeat.poll(cfg, from + at);
+        if step != HeartbeatStep::Wait {
+            return (step, at);
+        }
+    }
+    (HeartbeatStep::Wait, at)
+}
+
+#[test]
+fn a_silent_engine_is_lost_in_time_for_a_resume() {
+    let cfg = HeartbeatConfig::default();
+    let start = Instant::now();
+    let mut heartbeat = Heartbeat::new(start);
+    let second = Duration::from_secs(1);
+    let (step, probed) = next_step(&mut heartbeat, &cfg, start, second);
+    assert_eq!(step, HeartbeatStep::Probe);
+    let (step, again) = next_step(&mut heartbeat, &cfg, start + probed, second);
+    assert_eq!(step, HeartbeatStep::Probe, "a lost packet must not decide");
+    let (step, lost) = next_step(&mut heartbeat, &cfg, start + probed + again, second);
+    assert_eq!(step, HeartbeatStep::Lost);
+    // 700 ms is the pause that callers tolerate; the resume itself takes about 200 ms.
+    assert!(probed + again + lost < Duration::from_millis(450));
+}
+
+#[test]
+fn an_engine_that_reads_a_prompt_and_answers_probes_is_not_lost() {
+    let cfg = HeartbeatConfig::default();
+    let start = Instant::now();
+    let mut heartbeat = Heartbeat::new(start);
+    let mut probe_due = None;
+    for tick in 1..=250_u32 {
+        let now = start + POLL * tick;
+        if probe_due.is_some_and(|due| due <= now) {
+            heartbeat.record_heard(now);
+            probe_due = None;
+        }
+        match heartbeat.poll(&cfg, now) {
+            HeartbeatStep::Wait => {}
+            // Probes are answered 100 ms later, streams stay silent.
+            HeartbeatStep::Probe => {
+                probe_due.get_or_insert(now + Duration::from_millis(100));
+            }
+            HeartbeatStep::Lost => panic!("a live engine was given up at {:?}", now - start),
+        }
+    }
+}
+
+#[test]
+fn a_process_that_stood_still_judges_nobody() {
+    let cfg = HeartbeatConfig::default();
+    let start = Instant::now();
+    let mut heartbeat = Heartbeat::new(start);
+    let (step, probed) = next_step(&mut heartbeat, &cfg, start, Duration::from_secs(1));
+    assert_eq!(step, HeartbeatStep::Probe);
+    let woken = start + probed + Duration::from_secs(3);
+    assert_eq!(heartbeat.poll(&cfg, woken), HeartbeatStep::Wait);
+    assert_ne!(heartbeat.poll(&cfg, woken + POLL), HeartbeatStep::Lost);
+}
--- /dev/null
+++ b/crates/cactusbarrow_policy/tests/resume_plan.rs
@@ -0,0 +1,108 @@
+//! Generations go on from a copy, then by reading the prompt, within their attempts.
+
+mod common;
+
+use cactusbarrow_policy::{BackendKey, Outcome, ResumeAction, ResumeEvent, ResumePlan, Start};
+use common::fixed;
+use proptest::prelude::*;
+use slotmap::SlotMap;
+
+fn keys(count: usize) -> Vec<BackendKey> {
+    let mut map: SlotMap<BackendKey, ()> = SlotMap::with_key();
+    (0..count).map(|_| map.insert(())).collect()
+}
+
+#[test]
+fn a_generation_goes_on_from_its_copy_first() {
+    let keys = keys(3);
+    let mut plan = ResumePlan::new(true, 5);
+    plan.record_start(keys[0], Some(keys[1]));
+    let next = plan.decide(ResumeEvent::Silent, true, true);
+    assert_eq!(next, ResumeAction::Start(Start::FromCopy(keys[1])));
+    plan.record_start(keys[1], Some(keys[2]));
+    let next = plan.decide(ResumeEvent::NotExecuted, true, true);
+    assert_eq!(
+        next,
+        ResumeAction::Start(Start::ReadPrompt),
+        "the copy was gone"
+    );
+}
+
+#[test]
+fn before_the_first_event_there_is_no_copy() {
+    let keys = keys(2);
+    let mut plan = ResumePlan::new(true, 5);
+    plan.record_start(keys[0], Some(keys[1]));
+    let next = plan.decide(ResumeEvent::Broken, false, true);
+    assert_eq!(next, ResumeAction::Start(Start::ReadPrompt));
+}
+
+#[test]
+fn a_copy_made_later_replaces_the_first() {
+    let keys = keys(3);
+    let mut plan = ResumePlan::new(true, 5);
+    plan.record_start(keys[0], Some(keys[1]));
+    plan.record_copy(Some(keys[2]));
+    let next = plan.decide(ResumeEvent::Broken, true, true);
+    assert_eq!(next, ResumeAction::Start(Start::FromCopy(keys[2])));
+}
+
+#[test]
+fn a_generation_that_may_not_resume_ends_unknown() {
+    let keys = keys(1);
+    let mut plan = ResumePlan::new(false, 5);
+    plan.record_start(keys[0], None);
+    let next = plan.decide(ResumeEvent::Broken, true, true);
+    let is_unknown = matches!(
+        next,
+        ResumeAction::Refuse {
+            outcome: Outcome::Unknown,
+            ..
+        }
+    );
+    assert!(is_unknown, "{next:?}");
+}
+
+fn event() -> impl Strategy<Value = ResumeEvent> {
+    prop_oneof![
+        Just(ResumeEvent::NotConnected),
+        Just(ResumeEvent::NotExecuted),
+        Just(ResumeEvent::Failed),
+        Just(ResumeEvent::Broken),
+        Just(ResumeEvent::Silent),
+        Just(ResumeEvent::Stalled),
+    ]
+}
+
+proptest! {
+    #![proptest_config(fixed(2_000))]
+
+    #[test]
+    fn attempts_are_bounded_and_not_run_is_true(
+        can_resume in any::<bool>(),
+        attempts in 1..6_u32,
+        events in prop::collection::vec((event(), any::<bool>(), any::<bool>()), 1..40),
+    ) {
+        let keys = keys(events.len());
+        let mut plan = ResumePlan::new(can_resume, attempts);
+        let mut ran = 0;
+        let mut is_over = false;
+        for (key, (event, has_progress, has_budget)) in keys.into_iter().zip(events) {
+            plan.record_start(key, None);
+            let is_declined = matches!(event, ResumeEvent::NotConnected | ResumeEvent::NotExecuted);
+            ran += u32::from(!is_declined);
+            match plan.decide(event, has_progress, has_budget) {
+                ResumeAction::Start(_) => prop_assert!(has_budget),
+                ResumeAction::Deliver => prop_assert!(false, "nothing was rejected"),
+                ResumeAction::Refuse { outcome, .. } => {
+                    prop_assert_eq!(outcome == Outcome::NotRun, ran == 0);
+                    is_over = true;
+                    break;
+                }
+            }
+        }
+        let allowed = if can_resume { attempts } else { 1 };
+        prop_assert!(ran <= allowed);
+        prop_assert!(is_over || ran < allowed);
+    }
+}
--- /dev/null
+++ b/crates/cactusbarrow_policy/tests/route_set.rs
@@ -0,0 +1,96 @@
+//! Routes, keys and versions of the configuration.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use cactusbarrow_policy::{
+    CallerLimits, CustomerSpec, LookupError, RequestKind, Revision, Route, RouteSet, RouteSetCell,
+};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+fn route(name: &str, prefix: &str) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: "ficu.example".to_owned(),
+        prefix: prefix.to_owned(),
+        kind: RequestKind::Idempotent,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(150),
+        pause_objective: None,
+        priority: 1,
+        split: vec![("a".into(), 9), ("b".into(), 1), ("c".into(), 0)],
+        attempts: 2,
+        is_public: name == "open",
+    }
+}
+
+fn set(version: u64) -> RouteSet {
+    let customer = CustomerSpec {
+        name: "huka".into(),
+        priority: Some(3),
+    };
+    RouteSet {
+        version: Revision(version),
+        routes: vec![
+            route("short", "/a/"),
+            route("long", "/a/b/"),
+            route("open", "/o/"),
+        ],
+        services: HashMap::new(),
+        limits: CallerLimits {
+            header_bytes: 16_384,
+            body_bytes: 4_194_304,
+            header_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        },
+        customers: Some(HashMap::from([("key".to_owned(), customer)])),
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let set = set(1);
+    let name = |host, path| set.route(host, path).map(|route| route.name.as_str());
+    assert_eq!(name("ficu.example", "/a/b/c"), Some("long"));
+    assert_eq!(name("FICU.example:80", "/a/bc"), Some("short"));
+    assert_eq!(name("other.example", "/a/b/c"), None);
+    assert_eq!(name("ficu.example", "/a"), None);
+}
+
+#[test]
+fn a_key_is_needed_except_on_public_routes() {
+    let set = set(1);
+    let look_up = |path, key| {
+        set.look_up("ficu.example", path, key)
+            .map(|(_, c)| c.is_some())
+    };
+    assert_eq!(look_up("/a/x", Some("key")), Ok(true));
+    assert_eq!(look_up("/a/x", Some("old")), Err(LookupError::UnknownKey));
+    assert_eq!(look_up("/a/x", None), Err(LookupError::UnknownKey));
+    assert_eq!(look_up("/o/x", None), Ok(false));
+    assert_eq!(look_up("/x", Some("key")), Err(LookupError::NoRoute));
+}
+
+#[test]
+fn a_split_is_drawn_by_its_weights() {
+    let mut rng = StdRng::seed_from_u64(5);
+    let route = route("short", "/a/");
+    let mut counts: HashMap<String, u32> = HashMap::new();
+    for _ in 0..10_000 {
+        let service = route.draw_service(&mut rng).expect("there are weights");
+        *counts.entry(service.to_string()).or_default() += 1;
+    }
+    assert!((8_700..9_300).contains(&counts["a"]), "{counts:?}");
+    assert!(!counts.contains_key("c"));
+}
+
+#[test]
+fn an_older_version_never_replaces_a_newer_one() {
+    let mut cell = RouteSetCell::default();
+    assert!(cell.offer(set(7)));
+    assert!(!cell.offer(set(7)));
+    assert!(!cell.offer(set(3)));
+    assert_eq!(cell.version(), Revision(7));
+    assert!(cell.offer(set(12)));
+}
