Notice a copy's holder that is lost while the prompt is still read

Cause: explaining a generation that paused 1.6 s (examples/logs/pause.jsonl) showed that its copy's holder had ended 0.3 s after it was chosen; the token that tells of the loss was taken only with the engine's first answer, so the loss was missed and the resume met another instance. A test on the stand-ins failed first.

Also: an answer of another instance no longer counts as a sign of life; log lines name the next step and the reason instead of internal keys; cactusbarrow explain prints the course of one request from log lines.

--- a/crates/cactusbarrow_client/src/commands.rs
+++ b/crates/cactusbarrow_client/src/commands.rs
@@ -12,6 +12,7 @@
 use cactusbarrow_policy::Revision;
 
 use crate::exit::ClientError;
+use crate::explain::explain;
 use crate::flags::{Cactusbarrow, CactusbarrowCmd};
 use crate::input::{read_edits, read_files, read_key};
 use crate::output::{ObjectReport, Report, print, print_error};
@@ -84,6 +85,10 @@
                 revision: receipt.map(|r| r.revision),
             }))
         }
+        CactusbarrowCmd::Explain(cmd) => Ok(Some(Report::Course {
+            lines: explain(&cmd.request_id, &cmd.files)?,
+            request_id: cmd.request_id,
+        })),
         CactusbarrowCmd::Schema(_) => {
             println!("{:#}", json_schema());
             Ok(None)
--- a/crates/cactusbarrow_client/src/flags.rs
+++ b/crates/cactusbarrow_client/src/flags.rs
@@ -63,6 +63,13 @@
             /// Name of the operation.
             required id: String
         }
+        /// Show the course of one request, from log lines of gateways.
+        cmd explain {
+            /// Id of the request.
+            required request_id: String
+            /// Log files; standard input if absent.
+            repeated files: PathBuf
+        }
         /// Print the JSON Schema of the documents.
         cmd schema {}
     }
--- a/crates/cactusbarrow_client/src/lib.rs
+++ b/crates/cactusbarrow_client/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod commands;
 mod exit;
+mod explain;
 mod flags;
 mod input;
 mod output;
--- a/crates/cactusbarrow_client/src/output.rs
+++ b/crates/cactusbarrow_client/src/output.rs
@@ -35,6 +35,13 @@
         /// Whether anything changed.
         changed: bool,
     },
+    /// What logs tell about a request.
+    Course {
+        /// Its id.
+        request_id: String,
+        /// Lines, oldest first, with times relative to the request's first.
+        lines: Vec<String>,
+    },
     /// Objects in force.
     Objects {
         /// The revision in force.
@@ -133,6 +140,7 @@
             (false, true) => format!("operation {operation} is in force, revision {revision}"),
             (false, false) => format!("nothing to change, revision {revision}"),
         },
+        Report::Course { lines, .. } => lines.join("\n"),
         Report::Objects { objects, .. } => objects
             .iter()
             .map(|o| format!("{} (revision {})\n{:#}", o.key, o.revision, o.object))
--- a/crates/cactusbarrow_gateway/src/call.rs
+++ b/crates/cactusbarrow_gateway/src/call.rs
@@ -192,12 +192,13 @@
 }
 
 fn count_retry<C: Clock>(req: &Admitted<C>, entry: &BackendEntry, event: CallEvent) {
-    metrics::counter!("gateway_retries_total", "kind" => req.kind.name(), "reason" => format!("{event:?}"))
+    let reason = event.reason().as_str();
+    metrics::counter!("gateway_retries_total", "kind" => req.kind.name(), "reason" => reason)
         .increment(1);
     log::info!(
         request_id = req.caller.request_id.as_str(),
         instance = &*entry.instance,
-        cause:? = event;
+        cause = reason;
         "call goes to another backend server"
     );
 }
--- a/crates/cactusbarrow_gateway/src/generation/attempt.rs
+++ b/crates/cactusbarrow_gateway/src/generation/attempt.rs
@@ -81,7 +81,8 @@
 /// A stream of events from one engine.
 pub(crate) struct Attempt<C: Clock> {
     pub(crate) key: BackendKey,
-    pub(crate) instance: Arc<str>,
+    request_id: Arc<str>,
+    instance: Arc<str>,
     pub(crate) head: EngineAnswer,
     place: Place<C>,
     body: Incoming,
@@ -155,14 +156,17 @@
                 return Opened::Ended(ResumeEvent::Broken);
             }
         };
-        shared.record_heard(target.key);
         let (head, body, driver) = exchange.into_parts();
         let head = decode_engine_answer(head, &req.caller.request_id);
+        if head.status != StatusCode::MISDIRECTED_REQUEST {
+            shared.record_heard(target.key);
+        }
         if head.status.is_success() && head.is_own && head.is_signed && !head.is_encoded {
             let engine = (target.key, target.entry.clone());
             let copies = Copies::new(shared.clone(), engine, target.work, target.holder);
             let attempt = Self {
                 key: target.key,
+                request_id: req.caller.request_id.as_str().into(),
                 instance: target.entry.instance,
                 head,
                 place,
@@ -191,7 +195,11 @@
                 }
                 Ok(None) => {}
                 Err(e) => {
-                    log::warn!(instance = &*self.instance; "event cannot be read: {e}");
+                    log::warn!(
+                        request_id = &*self.request_id,
+                        instance = &*self.instance;
+                        "event cannot be read: {e}"
+                    );
                     return Received::Ended(ResumeEvent::Broken);
                 }
             }
@@ -211,7 +219,11 @@
                     }
                 }
                 Some(Err(e)) => {
-                    log::info!(instance = &*self.instance; "stream broke off: {e}");
+                    log::info!(
+                        request_id = &*self.request_id,
+                        instance = &*self.instance;
+                        "stream broke off: {e}"
+                    );
                     return Received::Ended(ResumeEvent::Broken);
                 }
                 None if self.cutter.is_empty() => return Received::End,
--- a/crates/cactusbarrow_gateway/src/generation/copies.rs
+++ b/crates/cactusbarrow_gateway/src/generation/copies.rs
@@ -34,12 +34,20 @@
     pub(crate) entry: BackendEntry,
     /// Name of the copy and the engine that made it; `None` for the engine's own backup.
     made: Option<Resume>,
+    /// Cancelled when the engine is lost or leaves. It is taken when the engine is chosen,
+    /// so that a loss while the prompt is still read is not missed.
+    gone: CancellationToken,
 }
 
 impl Holder {
     /// Returns the holder of an engine's own backup.
-    pub(crate) fn of_backup(key: BackendKey, entry: BackendEntry) -> Self {
+    pub(crate) fn of_backup<C: Clock>(
+        shared: &Shared<C>,
+        key: BackendKey,
+        entry: BackendEntry,
+    ) -> Self {
         Self {
+            gone: shared.gone_token(key),
             key,
             entry,
             made: None,
@@ -73,7 +81,6 @@
     work: BackendWork,
     plan: CopyPlan,
     holder: Option<Holder>,
-    gone: CancellationToken,
     order: Option<(Holder, AbortOnDropHandle<CopyResult>)>,
 }
 
@@ -85,9 +92,6 @@
         work: BackendWork,
         holder: Option<Holder>,
     ) -> Self {
-        let gone = holder
-            .as_ref()
-            .map_or_else(CancellationToken::new, |h| shared.gone_token(h.key));
         let copies = Self {
             shared,
             key,
@@ -95,7 +99,6 @@
             work,
             plan: CopyPlan::new(CopyConfig::default()),
             holder,
-            gone,
             order: None,
         };
         copies.count(true);
@@ -113,9 +116,9 @@
             return CopyNews::Ended(ended(order.await, &self.engine));
         }
         let due = self.plan.next_due();
-        let is_watched = self.holder.is_some();
+        let gone = self.holder.as_ref().map(|holder| holder.gone.clone());
         tokio::select! {
-            () = self.gone.cancelled(), if is_watched => CopyNews::HolderGone,
+            () = cancelled(gone) => CopyNews::HolderGone,
             () = sleep_until(due) => CopyNews::Due,
         }
     }
@@ -190,7 +193,7 @@
         let rng = &mut *shared.rng();
         let key = fleet.choose_copy_holder(self.key, capacity, self.work, excluded, now, rng)?;
         let entry = fleet.get(key)?.entry.clone();
-        Some(Holder::of_backup(key, entry))
+        Some(Holder::of_backup(shared, key, entry))
     }
 
     fn order(&mut self, holder: Holder, request_id: &str) {
@@ -205,9 +208,6 @@
 
     fn set_holder(&mut self, holder: Option<Holder>) {
         self.count(false);
-        self.gone = holder
-            .as_ref()
-            .map_or_else(CancellationToken::new, |h| self.shared.gone_token(h.key));
         self.holder = holder;
         self.count(true);
     }
@@ -227,6 +227,13 @@
     }
 }
 
+async fn cancelled(token: Option<CancellationToken>) {
+    match token {
+        Some(token) => token.cancelled().await,
+        None => std::future::pending().await,
+    }
+}
+
 async fn sleep_until(due: Option<Instant>) {
     match due {
         Some(due) => tokio::time::sleep_until(due.into()).await,
--- a/crates/cactusbarrow_gateway/src/generation/course.rs
+++ b/crates/cactusbarrow_gateway/src/generation/course.rs
@@ -253,7 +253,8 @@
             request_id = self.request_id(),
             cause = event.reason().as_str(),
             last_event = self.last_event(),
-            action:? = action,
+            next = action.name(),
+            retry_budget = has_budget,
             elapsed_ms = self.elapsed_ms();
             "attempt of a generation ended"
         );
@@ -310,7 +311,7 @@
             fleet
                 .choose_copy_holder(key, capacity, work, &excluded, now, rng)
                 .and_then(entry_of)
-                .map(|(key, entry)| Holder::of_backup(key, entry))
+                .map(|(key, entry)| Holder::of_backup(shared, key, entry))
         } else {
             None
         };
--- a/crates/cactusbarrow_gateway/tests/generations.rs
+++ b/crates/cactusbarrow_gateway/tests/generations.rs
@@ -180,6 +180,32 @@
     assert!(is_resumed, "it goes on from the new copy");
 }
 
+/// Load pattern: a zone ends while prompts that rely on it for their copies are read.
+#[tokio::test]
+async fn a_copy_whose_holder_is_lost_before_the_first_event_is_made_again() {
+    let world = World::start(4).await;
+    for engine in &world.engines {
+        engine.set_fault(Some(Fault::SlowStart));
+    }
+    let gateway = world.one_gateway().await;
+    let req = head("early", "/stream/1");
+    let call = gateway.call(&req, "POST");
+    let lose = async {
+        let engine = engine_of(&world, "early").await;
+        let holder = engine.runs()[0].headers["cactusbarrow-kv-backup"].clone();
+        let lost = world
+            .engines
+            .iter()
+            .find(|engine| engine.addr().to_string().as_bytes() == holder.as_bytes())
+            .expect("the holder is one of the engines");
+        world.store.delete(&format!("servers/{}", lost.instance()));
+        engine
+    };
+    let (answer, engine) = tokio::join!(call, lose);
+    assert_eq!(answer.event_ids(), whole());
+    assert!(!engine.copies().is_empty(), "the loss was missed");
+}
+
 #[tokio::test]
 async fn without_a_usable_engine_a_caller_is_told_at_once() {
     let world = World::start(0).await;
--- a/crates/cactusbarrow_policy/src/call_plan.rs
+++ b/crates/cactusbarrow_policy/src/call_plan.rs
@@ -24,6 +24,19 @@
     Stalled,
 }
 
+impl CallEvent {
+    /// Returns the reason that is logged and counted.
+    pub fn reason(self) -> Reason {
+        match self {
+            Self::Answered { .. } => Reason::BackendError,
+            Self::NotConnected => Reason::NotConnected,
+            Self::NotExecuted => Reason::NotExecuted,
+            Self::Broken => Reason::BrokenAnswer,
+            Self::Stalled => Reason::Stalled,
+        }
+    }
+}
+
 /// What to do next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallAction {
@@ -82,17 +95,13 @@
 
     /// Decides what follows a try; `has_budget` tells whether the service allows a retry.
     pub fn decide(&mut self, event: CallEvent, has_budget: bool) -> CallAction {
-        let reason = match event {
+        match event {
             CallEvent::Answered { is_failure: false } => return CallAction::Deliver,
             CallEvent::Answered { is_failure: true } if !self.can_run_again(has_budget) => {
                 return CallAction::Deliver;
             }
-            CallEvent::Answered { .. } => Reason::BackendError,
-            CallEvent::NotConnected => Reason::NotConnected,
-            CallEvent::NotExecuted => Reason::NotExecuted,
-            CallEvent::Broken => Reason::BrokenAnswer,
-            CallEvent::Stalled => Reason::Stalled,
-        };
+            _ => {}
+        }
         let is_declined = matches!(event, CallEvent::NotConnected | CallEvent::NotExecuted);
         if is_declined {
             self.run = self.run.saturating_sub(1);
@@ -106,7 +115,7 @@
         if may_go_on {
             return CallAction::Send;
         }
-        self.refuse(reason)
+        self.refuse(event.reason())
     }
 
     /// Decides when no backend server is left, or the time is over.
--- a/crates/cactusbarrow_policy/src/resume_plan.rs
+++ b/crates/cactusbarrow_policy/src/resume_plan.rs
@@ -72,6 +72,18 @@
     },
 }
 
+impl ResumeAction {
+    /// Returns a short name for logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Start(Start::ReadPrompt) => "read_prompt",
+            Self::Start(Start::FromCopy(_)) => "from_copy",
+            Self::Deliver => "deliver",
+            Self::Refuse { .. } => "refuse",
+        }
+    }
+}
+
 /// The course of one generation.
 #[derive(Clone, Debug)]
 pub struct ResumePlan {
