--- a/crates/cactusbarrow_gateway/src/generation/copies.rs
+++ b/crates/cactusbarrow_gateway/src/generation/copies.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use cactusbarrow_adapter::{MemoryCopy, Resume, copy_request, decode_copy};
+use cactusbarrow_adapter::{MemoryCopy, Resume, copy_request, decode_copy, release_request};
 use cactusbarrow_net::{Clock, NetError, collect_limited};
 use cactusbarrow_policy::{
     BackendEntry, BackendKey, BackendWork, CopyAction, CopyConfig, CopyPlan,
@@ -149,6 +149,15 @@
         }
     }
 
+    /// Frees a copy that was ordered, since the generation is complete.
+    ///
+    /// An engine's own backup ends with the run; an ordered copy would stay for seconds.
+    pub(crate) fn release(&self) {
+        if let Some(made) = self.holder.as_ref().and_then(|holder| holder.made.clone()) {
+            tokio::spawn(release(made));
+        }
+    }
+
     fn take_result(&mut self, result: CopyResult, request_id: &str, now: Instant) {
         let Some((holder, _)) = self.order.take() else {
             return;
@@ -245,6 +254,21 @@
     result.unwrap_or_else(|e| Err(NetError::new("copy memory", engine.address, e)))
 }
 
+/// Orders the engine that made a copy to free it.
+async fn release(made: Resume) {
+    const STEP: &str = "release memory";
+    let exchange = async {
+        let conn = Connection::open(made.holder, CONNECT_TIMEOUT).await?;
+        conn.send(STEP, release_request(made.holder, &made.copy))
+            .await
+    };
+    let result = tokio::time::timeout(COPY_TIMEOUT, exchange).await;
+    if !matches!(result, Ok(Ok(_))) {
+        // The engine frees it by itself after a while.
+        log::info!(peer:% = made.holder, step = STEP; "copy of a generation's memory not freed");
+    }
+}
+
 /// Orders an engine to copy a generation's memory and waits for the end.
 async fn copy(engine: BackendEntry, to: BackendEntry, request_id: String) -> CopyResult {
     const STEP: &str = "copy memory";
--- a/crates/cactusbarrow_gateway/src/generation/course.rs
+++ b/crates/cactusbarrow_gateway/src/generation/course.rs
@@ -144,6 +144,7 @@
                     Err(event) => event,
                 },
                 Received::End => {
+                    copies.release();
                     self.keep_head();
                     return Step::End;
                 }
--- a/crates/cactusbarrow_gateway/tests/generations.rs
+++ b/crates/cactusbarrow_gateway/tests/generations.rs
@@ -204,6 +204,10 @@
     let (answer, engine) = tokio::join!(call, lose);
     assert_eq!(answer.event_ids(), whole());
     assert!(!engine.copies().is_empty(), "the loss was missed");
+    eventually("the ordered copy is freed", || {
+        engine.freed() == ["/kv-handle/h1"]
+    })
+    .await;
 }
 
 #[tokio::test]
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -43,7 +43,32 @@
         assert_eq!(code(&output), 0, "{line}: {output:?}");
         commands += 1;
     }
-    assert_eq!(commands, 12);
+    assert_eq!(commands, 16);
+}
+
+#[test]
+fn a_requests_course_names_its_cause() {
+    let told = |id: &str, file: &str| {
+        let file = format!("examples/logs/{file}.jsonl");
+        let output = run(env!("CARGO_BIN_EXE_cactusbarrow"), &["explain", id, &file]);
+        assert_eq!(code(&output), 0, "{output:?}");
+        String::from_utf8_lossy(&output.stdout).into_owned()
+    };
+    let paused = told("b97325407e3ea71f", "pause");
+    assert!(paused.contains("longest_pause_ms=1579"), "{paused}");
+    assert!(paused.contains("reason=other_instance"), "{paused}");
+    assert!(
+        !paused.contains("8a8f3b5b1063d736"),
+        "lines of other requests stay out"
+    );
+    let unknown = told("130482cd9e042527", "unknown");
+    assert!(unknown.contains("outcome=unknown"), "{unknown}");
+    assert!(unknown.contains("reason=broken_answer"), "{unknown}");
+    let refused = told("06c496256a89699b", "refusal");
+    assert!(refused.contains("reason=no_configuration"), "{refused}");
+    let none = ["explain", "no-such-id", "examples/logs/pause.jsonl"];
+    let none = run(env!("CARGO_BIN_EXE_cactusbarrow"), &none);
+    assert_eq!(code(&none), 1);
 }
 
 #[tokio::test(flavor = "multi_thread")]
