--- a/crates/cactusbarrow_gateway/src/call.rs
+++ b/crates/cactusbarrow_gateway/src/call.rs
@@ -23,9 +23,6 @@
 /// Shortest time left in which a call is still sent.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(5);
 
-/// Wait that a caller is told when no backend server takes its call.
-const FULL_RETRY: Duration = Duration::from_millis(150);
-
 /// Latency objectives after which an idempotent call is sent once more.
 const STALL_OBJECTIVES: u32 = 2;
 
@@ -55,7 +52,7 @@
     let res = match tokio::time::timeout(left, run(&req, &mut plan)).await {
         Ok(Ok(answer)) => deliver(&req, answer),
         Ok(Err(refusal)) => refuse(&req, &refusal),
-        Err(_) => refuse(&req, &refusal_of(&plan, Reason::RouteTimeout)),
+        Err(_) => refuse(&req, &refusal_of(&req, &plan, Reason::RouteTimeout)),
     };
     metrics::histogram!("gateway_call_seconds", "kind" => req.kind.name())
         .record(req.shared.elapsed_since(req.arrived).as_secs_f64());
@@ -65,10 +62,10 @@
 async fn run<C: Clock>(req: &Admitted<C>, plan: &mut CallPlan) -> Result<Answer, Refusal> {
     loop {
         let Some((key, entry)) = choose(req, plan) else {
-            return Err(refusal_of(plan, Reason::NoBackend));
+            return Err(refusal_of(req, plan, Reason::NoBackend));
         };
         if req.time_left() < MIN_TIME_LEFT {
-            return Err(refusal_of(plan, Reason::Expired));
+            return Err(refusal_of(req, plan, Reason::Expired));
         }
         let (event, answer) = attempt(req, plan, key, &entry).await;
         let needs_retry = !matches!(event, CallEvent::Answered { is_failure: false });
@@ -78,8 +75,10 @@
         match (plan.decide(event, has_budget), answer) {
             (CallAction::Deliver, Some(answer)) => return Ok(answer),
             (CallAction::Send, _) => count_retry(req, &entry, event),
-            (CallAction::Refuse { outcome, reason }, _) => return Err(refusal(outcome, reason)),
-            (CallAction::Deliver, None) => return Err(refusal_of(plan, Reason::BrokenAnswer)),
+            (CallAction::Refuse { outcome, reason }, _) => {
+                return Err(refusal(req, outcome, reason));
+            }
+            (CallAction::Deliver, None) => return Err(refusal_of(req, plan, Reason::BrokenAnswer)),
         }
     }
 }
@@ -203,16 +202,16 @@
     );
 }
 
-fn refusal_of(plan: &CallPlan, reason: Reason) -> Refusal {
+fn refusal_of<C: Clock>(req: &Admitted<C>, plan: &CallPlan, reason: Reason) -> Refusal {
     match plan.refuse(reason) {
-        CallAction::Refuse { outcome, reason } => refusal(outcome, reason),
-        CallAction::Send | CallAction::Deliver => refusal(Outcome::Unknown, reason),
+        CallAction::Refuse { outcome, reason } => refusal(req, outcome, reason),
+        CallAction::Send | CallAction::Deliver => refusal(req, Outcome::Unknown, reason),
     }
 }
 
-fn refusal(outcome: Outcome, reason: Reason) -> Refusal {
+fn refusal<C: Clock>(req: &Admitted<C>, outcome: Outcome, reason: Reason) -> Refusal {
     match outcome {
-        Outcome::NotRun => Refusal::not_run(reason, FULL_RETRY),
+        Outcome::NotRun => Refusal::not_run(reason, req.retry_after()),
         Outcome::Unknown | Outcome::Failed => Refusal::unknown(reason),
     }
 }
--- a/crates/cactusbarrow_gateway/src/generation/course.rs
+++ b/crates/cactusbarrow_gateway/src/generation/course.rs
@@ -15,9 +15,6 @@
 use super::copies::Holder;
 use crate::request::Admitted;
 
-/// Wait that a caller is told when no engine takes its generation.
-const FULL_RETRY: Duration = Duration::from_millis(500);
-
 /// Waits for the first event at a live engine, in latency objectives.
 const FIRST_EVENT_OBJECTIVES: u32 = 2;
 
@@ -102,8 +99,9 @@
         shared.shutdown().record_generation(took);
     }
 
+    /// Draws when the caller may come back after a refusal.
     pub(crate) fn retry_after(&self) -> Duration {
-        FULL_RETRY
+        self.req.retry_after()
     }
 
     /// Returns the head of the first engine that delivered an event.
--- a/crates/cactusbarrow_gateway/src/request.rs
+++ b/crates/cactusbarrow_gateway/src/request.rs
@@ -8,6 +8,7 @@
 use cactusbarrow_net::{Body, Clock, collect_limited};
 use cactusbarrow_policy::{
     CustomerSpec, LookupError, Reason, RequestKind, Route, RouteSet, ServiceName, ServiceSpec,
+    retry_after,
 };
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -16,9 +17,6 @@
 use crate::shared::Shared;
 use crate::{call, generation};
 
-/// Wait that a caller is told while the gateway cannot serve at all.
-const NOT_READY_RETRY: Duration = Duration::from_millis(250);
-
 /// Wait beyond the time that the balancer needs to send a caller elsewhere.
 const SHUTDOWN_RETRY: Duration = Duration::from_millis(50);
 
@@ -44,6 +42,11 @@
 }
 
 impl<C: Clock> Admitted<C> {
+    /// Draws when the caller may come back after a refusal.
+    pub(crate) fn retry_after(&self) -> Duration {
+        retry_after(self.time_left(), &mut *self.shared.rng())
+    }
+
     /// Returns the time that is left for the answer.
     pub(crate) fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(self.shared.now())
@@ -102,8 +105,13 @@
     body: Incoming,
     arrived: Instant,
 ) -> Result<Admitted<C>, Refusal> {
+    let patience = caller.patience.unwrap_or(DEFAULT_PATIENCE);
+    let come_back = |reason| {
+        let wait = retry_after(patience, &mut *shared.rng());
+        Refusal::not_run(reason, wait)
+    };
     let Some(routes) = shared.routes() else {
-        return Err(Refusal::not_run(Reason::NoConfiguration, NOT_READY_RETRY));
+        return Err(come_back(Reason::NoConfiguration));
     };
     let (route, customer) = look_up(&routes, &caller)?;
     if matches!(route.kind, RequestKind::Generation { .. }) {
@@ -111,9 +119,7 @@
         admitted.map_err(|wait| Refusal::not_run(Reason::ShuttingDown, wait + SHUTDOWN_RETRY))?;
     }
     let service = route.draw_service(&mut *shared.rng()).cloned();
-    let service =
-        service.ok_or_else(|| Refusal::not_run(Reason::NoSuchService, NOT_READY_RETRY))?;
-    let patience = caller.patience.unwrap_or(DEFAULT_PATIENCE);
+    let service = service.ok_or_else(|| come_back(Reason::NoSuchService))?;
     let deadline = arrived + patience.min(route.timeout);
     let body = read_body(shared, &routes, body, deadline, &caller.request_id).await?;
     let priority = customer.and_then(|customer| customer.priority);
@@ -179,6 +185,6 @@
                 Reason::BadRequest,
             ))
         }
-        Err(_) => Err(Refusal::not_run(Reason::Expired, NOT_READY_RETRY)),
+        Err(_) => Err(Refusal::not_run(Reason::Expired, Duration::ZERO)),
     }
 }
--- a/crates/cactusbarrow_policy/src/lib.rs
+++ b/crates/cactusbarrow_policy/src/lib.rs
@@ -29,6 +29,7 @@
 mod queue;
 mod resume_plan;
 mod retry;
+mod retry_after;
 mod retry_window;
 mod route_set;
 mod shutdown;
@@ -66,6 +67,7 @@
 pub use queue::{FairQueue, QueueOrder, Ticket};
 pub use resume_plan::{ResumeAction, ResumeEvent, ResumePlan, Start};
 pub use retry::{Backoff, RetryBudget};
+pub use retry_after::retry_after;
 pub use retry_window::{RetryCount, RetryLimits, RetryWindow};
 pub use route_set::{
     CallerLimits, CustomerSpec, LookupError, RequestKind, Route, RouteSet, RouteSetCell,
