Judge a stalled stream from its last event, also while copies are renewed

Cause: reading the code showed that each renewal of a copy restarted the wait for the next event, so a stream that stood still on a live engine was never moved while its copy was renewed every 0.8 s. A test on the stand-ins failed first.

--- a/crates/cactusbarrow_gateway/src/generation/course.rs
+++ b/crates/cactusbarrow_gateway/src/generation/course.rs
@@ -53,6 +53,8 @@
     last_event: Option<u64>,
     engines: u64,
     event_at: Option<Instant>,
+    /// Start of the present attempt or its last event, whichever is later.
+    progress_at: Instant,
     longest_pause: Duration,
 }
 
@@ -67,6 +69,7 @@
             last_event: req.caller.last_event_id,
             engines: 0,
             event_at: None,
+            progress_at: req.arrived,
             longest_pause: Duration::ZERO,
             req,
         }
@@ -115,17 +118,13 @@
             if self.req.time_left().is_zero() {
                 return self.refused(Reason::RouteTimeout);
             }
+            let until = self.next_event_due();
             let Some(running) = &mut self.running else {
                 match self.start().await {
                     Some(step) => return step,
                     None => continue,
                 }
             };
-            let patience = match self.event_at {
-                None => self.req.objective * FIRST_EVENT_OBJECTIVES,
-                Some(_) => self.req.pause_objective.unwrap_or(DEFAULT_PAUSE) * STALL_PAUSES,
-            };
-            let until = (self.req.shared.now() + patience).min(self.req.deadline);
             let Running { attempt, copies } = &mut **running;
             let has_started = attempt.has_started();
             let received = tokio::select! {
@@ -136,29 +135,49 @@
                     continue;
                 }
             };
-            let event = match received {
-                Received::Event(event) => match self.accept(event) {
-                    Ok(bytes) => return Step::Event(bytes),
-                    Err(event) => event,
-                },
-                Received::End => {
-                    copies.release();
-                    self.keep_head();
-                    return Step::End;
-                }
-                Received::Ended(event) => event,
-            };
-            if let Some(running) = self.running.take() {
-                self.holder = running.copies.holder().cloned();
-                let key = self.holder.as_ref().map(|holder| holder.key);
-                self.plan.record_copy(key);
-            }
-            if let Some(step) = self.decide(event) {
+            if let Some(step) = self.take(received) {
                 return step;
             }
         }
     }
 
+    /// Returns when a live engine has been silent on this stream for too long.
+    fn next_event_due(&self) -> Instant {
+        let running = self.running.as_ref();
+        let has_started = running.is_some_and(|running| running.attempt.has_started());
+        let patience = match (self.event_at, has_started) {
+            (None, _) => self.req.objective * FIRST_EVENT_OBJECTIVES,
+            // The prompt, or what the copy lacks, has to be read first.
+            (Some(_), false) => self.req.objective,
+            (Some(_), true) => self.req.pause_objective.unwrap_or(DEFAULT_PAUSE) * STALL_PAUSES,
+        };
+        (self.progress_at + patience).min(self.req.deadline)
+    }
+
+    /// Takes what the present attempt brought; returns a step if it gives the caller one.
+    fn take(&mut self, received: Received) -> Option<Step> {
+        let event = match received {
+            Received::Event(event) => match self.accept(event) {
+                Ok(bytes) => return Some(Step::Event(bytes)),
+                Err(event) => event,
+            },
+            Received::End => {
+                self.keep_head();
+                if let Some(running) = &self.running {
+                    running.copies.release();
+                }
+                return Some(Step::End);
+            }
+            Received::Ended(event) => event,
+        };
+        if let Some(running) = self.running.take() {
+            self.holder = running.copies.holder().cloned();
+            let key = self.holder.as_ref().map(|holder| holder.key);
+            self.plan.record_copy(key);
+        }
+        self.decide(event)
+    }
+
     /// Takes an event if it follows the last one.
     fn accept(&mut self, event: RawEvent) -> Result<Bytes, ResumeEvent> {
         if let Some(id) = event.id {
@@ -175,6 +194,7 @@
             self.last_event = Some(id);
         }
         let now = self.req.shared.now();
+        self.progress_at = now;
         if let Some(at) = self.event_at.replace(now) {
             self.longest_pause = self.longest_pause.max(now.saturating_duration_since(at));
         } else {
@@ -185,7 +205,7 @@
 
     fn keep_head(&mut self) {
         if let Some(running) = &self.running
-            && self.event_at.is_none() | self.head.is_none()
+            && self.head.is_none()
         {
             self.head = Some(running.attempt.head.headers.clone());
         }
@@ -217,6 +237,7 @@
             .min(self.req.objective * FIRST_EVENT_OBJECTIVES);
         let event = match Attempt::open(&self.req, target, self.last_event, timeout).await {
             Opened::Streaming(running) => {
+                self.progress_at = self.req.shared.now();
                 self.running = Some(running);
                 return None;
             }
--- a/crates/cactusbarrow_gateway/src/shared.rs
+++ b/crates/cactusbarrow_gateway/src/shared.rs
@@ -98,7 +98,7 @@
         let seeds: Vec<Ipv4Addr> = settings.seeds.iter().copied().filter_map(ipv4).collect();
         let own = ipv4(settings.ip).unwrap_or(Ipv4Addr::UNSPECIFIED);
         let peers = PeerTable::new(PeerConfig::default(), own, &seeds);
-        let shutdown = Shutdown::new(ShutdownConfig::default(), settings.bounds.grace);
+        let shutdown = Shutdown::new(ShutdownConfig::default(), settings.grace);
         Arc::new(Self {
             settings,
             replica: Mutex::default(),
--- a/crates/cactusbarrow_gateway/tests/generations.rs
+++ b/crates/cactusbarrow_gateway/tests/generations.rs
@@ -122,6 +122,37 @@
     survives(Some(Fault::BreakOff)).await;
 }
 
+#[tokio::test]
+async fn a_generation_goes_on_when_its_stream_alone_stands_still() {
+    survives(Some(Fault::Stall)).await;
+}
+
+/// Load pattern: an engine drops single streams while zones come and go, so that copies
+/// are renewed all the while.
+#[tokio::test]
+async fn a_stream_that_stands_still_moves_on_while_its_copy_is_renewed() {
+    let world = World::start(4).await;
+    let gateway = world.one_gateway().await;
+    let req = head("still", "/stream/1");
+    let call = gateway.call(&req, "POST");
+    let hurt = async {
+        let engine = engine_of(&world, "still").await;
+        engine.set_fault(Some(Fault::Stall));
+        let holder = engine.runs()[0].headers["cactusbarrow-kv-backup"].clone();
+        let lost = world
+            .engines
+            .iter()
+            .find(|engine| engine.addr().to_string().as_bytes() == holder.as_bytes())
+            .expect("the holder is one of the engines");
+        world.store.delete(&format!("servers/{}", lost.instance()));
+    };
+    let both = async { tokio::join!(call, hurt).0 };
+    let answer = tokio::time::timeout(common::PATIENCE / 2, both)
+        .await
+        .expect("the stall is noticed although copies are renewed");
+    assert_eq!(answer.event_ids(), whole());
+}
+
 #[tokio::test]
 async fn a_caller_that_returns_gets_what_follows_its_last_event() {
     let world = World::start(2).await;
--- a/crates/cactusbarrow_policy/src/call_plan.rs
+++ b/crates/cactusbarrow_policy/src/call_plan.rs
@@ -1,6 +1,6 @@
 //! Decides how a call to a plain service goes on after each try.
 
-use crate::backend_fleet::BackendKey;
+use crate::backend::BackendKey;
 use crate::outcome::{Outcome, Reason};
 
 /// Tries beyond the route's attempts that a backend server declines or that do not connect.
--- a/crates/cactusbarrow_policy/src/lib.rs
+++ b/crates/cactusbarrow_policy/src/lib.rs
@@ -9,12 +9,14 @@
 
 mod adoption;
 mod attempt;
+mod backend;
 mod backend_fleet;
 mod call_plan;
 mod choose;
 mod claim_page;
 mod claim_shard;
 mod copy_plan;
+mod fleet_config;
 mod gate;
 mod generation;
 mod generation_event;
@@ -26,6 +28,7 @@
 mod orders;
 mod outcome;
 mod peer_table;
+mod placement;
 mod queue;
 mod resume_plan;
 mod retry;
@@ -40,10 +43,8 @@
 mod watch_duty;
 
 pub use adoption::{Adoption, Change, ChangeLog, Delta, DeltaError, Digest};
-pub use backend_fleet::{
-    Backend, BackendEntry, BackendFleet, BackendKey, FleetConfig, HeartbeatAction, LossCause,
-    Work as BackendWork,
-};
+pub use backend::{Backend, BackendEntry, BackendKey, LossCause, Work as BackendWork};
+pub use backend_fleet::{BackendFleet, HeartbeatAction};
 pub use call_plan::{CallAction, CallEvent, CallPlan};
 pub use choose::{BackendLoad, Candidate, ChooseConfig, ChooseRequest, ChooseStrategy, LoadTable};
 pub use claim_page::{ClaimEntry, ClaimPage, ClaimPageError, EntryState};
@@ -51,6 +52,7 @@
     ClaimAction, ClaimConfig, ClaimEvent, ClaimRequest, ClaimShard, ClaimVerdict,
 };
 pub use copy_plan::{CopyAction, CopyConfig, CopyPlan};
+pub use fleet_config::FleetConfig;
 pub use gate::{DrainCause, Gate, GateConfig, Permit, Work};
 pub use generation::Generation;
 pub use generation_event::{
--- a/crates/cactusbarrow_policy/src/resume_plan.rs
+++ b/crates/cactusbarrow_policy/src/resume_plan.rs
@@ -4,7 +4,7 @@
 //! generations that are halfway. Going on from a copy in another zone reads only
 //! what the copy lacks; reading the prompt again is the fall-back.
 
-use crate::backend_fleet::BackendKey;
+use crate::backend::BackendKey;
 use crate::outcome::{Outcome, Reason};
 
 /// Tries that an engine declines or that do not connect, beyond the route's attempts.
--- a/crates/cactusbarrow_policy/src/route_set.rs
+++ b/crates/cactusbarrow_policy/src/route_set.rs
@@ -99,10 +99,6 @@
 /// What the backend servers of a service can hold.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ServiceSpec {
-    /// Connections that one backend server accepts from all callers; 0 if not stated.
-    pub max_connections: u32,
-    /// Requests that one backend server runs at once; 0 if not stated.
-    pub slots: u32,
     /// Tokens of KV memory of one engine; 0 for plain services.
     pub kv_capacity: u64,
     /// Path at which a backend server tells its health and instance.
@@ -118,9 +114,7 @@
     pub header_bytes: usize,
     /// Longest body of a request, in bytes.
     pub body_bytes: usize,
-    /// Longest time to send the head of a request.
-    pub header_timeout: Duration,
-    /// Longest time that a connection may stay idle.
+    /// Longest time that a connection may go without a whole request.
     pub idle_timeout: Duration,
 }
 
--- a/crates/cactusbarrow_policy/tests/route_set.rs
+++ b/crates/cactusbarrow_policy/tests/route_set.rs
@@ -41,7 +41,6 @@
         limits: CallerLimits {
             header_bytes: 16_384,
             body_bytes: 4_194_304,
-            header_timeout: Duration::from_secs(3),
             idle_timeout: Duration::from_secs(15),
         },
         customers: Some(HashMap::from([("key".to_owned(), customer)])),
