--- a/crates/cactusbarrow_gateway/src/shared.rs
+++ b/crates/cactusbarrow_gateway/src/shared.rs
@@ -222,10 +222,18 @@
     /// Tells those that rely on copies of the engines that were lost or leave.
     pub(crate) fn announce_gone(&self) {
         let keys = self.fleet().take_gone();
-        let mut tokens = lock(&self.gone);
-        for token in keys.iter().filter_map(|key| tokens.remove(key)) {
-            token.cancel();
+        if keys.is_empty() {
+            return;
+        }
+        {
+            let mut tokens = lock(&self.gone);
+            for token in keys.iter().filter_map(|key| tokens.remove(key)) {
+                token.cancel();
+            }
         }
+        // Instances come and go for as long as the process lives.
+        let fleet = self.fleet();
+        lock(&self.lost).retain(|key, _| fleet.get(*key).is_some());
     }
 
     /// Returns the memory of one engine of a service, in tokens; 0 if not stated.
