Refuse calls that a stop would cut, and spread large configurations over all that have them

Two askers at once are served, all peers that have the newest version are asked, and head and body of an answer have a time each.

--- a/crates/cactusbarrow_gateway/src/peers.rs
+++ b/crates/cactusbarrow_gateway/src/peers.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use cactusbarrow_adapter::Item;
 use cactusbarrow_net::{Body, Clock, HttpClient, HttpVersion, NetError, collect_limited};
 use cactusbarrow_policy::{PeerHeartbeat, PeerLoad, RetryCount};
@@ -33,8 +34,16 @@
 /// Largest answer with a gateway's knowledge.
 const MAX_KNOWLEDGE_BYTES: usize = 16 << 20;
 
-/// Longest wait for a gateway's knowledge.
-const KNOWLEDGE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest wait until a gateway begins to tell its knowledge, and until it has told all of
+/// it: a large configuration takes its time on a slow link.
+const HEAD_TIMEOUT: Duration = Duration::from_millis(500);
+const BODY_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Peers that are told knowledge at once; others ask again, or ask another gateway.
+pub(crate) const MAX_ASKERS: usize = 2;
+
+/// Size of the parts in which knowledge is sent, so that a slow link holds its asker's place.
+const PART_BYTES: usize = 4 << 10;
 
 /// Largest request for a gateway's knowledge.
 const MAX_REQUEST_BYTES: usize = 1_024;
@@ -215,8 +224,9 @@
     let now = shared.now();
     let (version, revision) = (shared.version().0, shared.servers_revision());
     let peers = shared.peers();
-    let config = peers.newest_config(version, now);
-    config.or_else(|| peers.newest_servers(revision, now))
+    let rng = &mut *shared.rng();
+    let config = peers.newest_config(version, now, rng);
+    config.or_else(|| peers.newest_servers(revision, now, rng))
 }
 
 async fn ask<C: Clock>(
@@ -237,8 +247,12 @@
     *req.method_mut() = Method::POST;
     *req.uri_mut() = uri;
     let res = http
-        .send_whole(STEP, req, KNOWLEDGE_TIMEOUT, MAX_KNOWLEDGE_BYTES)
+        .send_in_parts(STEP, req, HEAD_TIMEOUT, BODY_TIMEOUT, MAX_KNOWLEDGE_BYTES)
         .await?;
+    if res.status() != StatusCode::OK {
+        let status = format!("status {}", res.status());
+        return Err(NetError::new(STEP, addr, status));
+    }
     GatewayKnowledge::decode(res.into_body()).map_err(|e| NetError::new(STEP, addr, e))
 }
 
@@ -290,6 +304,11 @@
         *res.status_mut() = StatusCode::BAD_REQUEST;
         return res;
     };
+    let Ok(place) = shared.askers().clone().try_acquire_owned() else {
+        let mut res = Response::new(Body::Empty);
+        *res.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        return res;
+    };
     let servers_revision = shared.servers_revision();
     let is_newer = shared.version().0 > known.config_version;
     let instances = shared
@@ -315,7 +334,18 @@
         instances,
     };
     drop(replica);
-    Response::new(Body::full(knowledge.encode_to_vec()))
+    let (tx, body) = Body::channel();
+    let mut knowledge = Bytes::from(knowledge.encode_to_vec());
+    tokio::spawn(async move {
+        while !knowledge.is_empty() {
+            let part = knowledge.split_to(PART_BYTES.min(knowledge.len()));
+            if !tx.send(part).await {
+                break;
+            }
+        }
+        drop(place);
+    });
+    Response::new(body)
 }
 
 /// Wakes the sender of heartbeats when the own load changes.
--- a/crates/cactusbarrow_gateway/src/request.rs
+++ b/crates/cactusbarrow_gateway/src/request.rs
@@ -114,7 +114,11 @@
         return Err(come_back(Reason::NoConfiguration));
     };
     let (route, customer) = look_up(&routes, &caller)?;
-    if matches!(route.kind, RequestKind::Generation { .. }) {
+    let now = shared.now();
+    if !route.kind.is_generation() && !shared.shutdown().admits_call(now, route.timeout) {
+        return Err(come_back(Reason::ShuttingDown));
+    }
+    if route.kind.is_generation() {
         let admitted = shared.shutdown().admit_generation(shared.now());
         admitted.map_err(|wait| Refusal::not_run(Reason::ShuttingDown, wait + SHUTDOWN_RETRY))?;
     }
--- a/crates/cactusbarrow_gateway/src/shared.rs
+++ b/crates/cactusbarrow_gateway/src/shared.rs
@@ -14,10 +14,10 @@
 };
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 use tokio_util::sync::CancellationToken;
 
-use crate::peers::LoadChanged;
+use crate::peers::{LoadChanged, MAX_ASKERS};
 use crate::store_sync::StoreLink;
 
 /// Share of the platform's retry budget that the gateways plan with.
@@ -74,6 +74,8 @@
     replica: Mutex<Replica>,
     peers: Mutex<PeerTable>,
     load_changed: LoadChanged,
+    /// Places for peers that are told this gateway's knowledge.
+    askers: Arc<Semaphore>,
     link: Mutex<StoreLink>,
     shutdown: Mutex<Shutdown>,
     /// Set once the list of backend servers was read.
@@ -104,6 +106,7 @@
             replica: Mutex::default(),
             peers: Mutex::new(peers),
             load_changed: LoadChanged::default(),
+            askers: Arc::new(Semaphore::new(MAX_ASKERS)),
             link: Mutex::default(),
             clock,
             routes: Mutex::default(),
@@ -159,6 +162,10 @@
         lock(&self.shutdown)
     }
 
+    pub(crate) fn askers(&self) -> &Arc<Semaphore> {
+        &self.askers
+    }
+
     pub(crate) fn load_changed(&self) -> &LoadChanged {
         &self.load_changed
     }
--- a/crates/cactusbarrow_net/src/http_client.rs
+++ b/crates/cactusbarrow_net/src/http_client.rs
@@ -67,6 +67,28 @@
         })
     }
 
+    /// Sends a request and reads the whole response; head and body have a time each.
+    ///
+    /// A peer that is there answers soon, and a large body takes its time on a slow link.
+    pub async fn send_in_parts(
+        &self,
+        step: &'static str,
+        req: Request<Body>,
+        head_timeout: Duration,
+        body_timeout: Duration,
+        limit: usize,
+    ) -> Result<Response<Bytes>, NetError> {
+        let peer = peer_of(&req);
+        let late = || NetError::new(step, &peer, "no answer in time");
+        let sent = tokio::time::timeout(head_timeout, self.send(step, req)).await;
+        let (parts, body) = sent.map_err(|_| late())??.into_parts();
+        let read = tokio::time::timeout(body_timeout, collect_limited(body, limit, &peer)).await;
+        match read.map_err(|_| late())?? {
+            Some(bytes) => Ok(Response::from_parts(parts, bytes)),
+            None => Err(NetError::new(step, &peer, "answer is too large")),
+        }
+    }
+
     /// Sends a request and reads the whole response, within a time and size.
     pub async fn send_whole(
         &self,
--- a/crates/cactusbarrow_policy/src/peer_table.rs
+++ b/crates/cactusbarrow_policy/src/peer_table.rs
@@ -8,6 +8,8 @@
 use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
 
+use rand::Rng;
+
 use crate::hash::{rendezvous_weight, stable_hash};
 use crate::retry_window::RetryCount;
 use crate::watch_duty::StoreStanding;
@@ -209,20 +211,42 @@
         sum
     }
 
-    /// Returns the peer with the newest configuration, if it is newer than `version`.
-    pub fn newest_config(&self, version: u64, now: Instant) -> Option<Ipv4Addr> {
-        self.alive(now)
-            .filter(|(_, peer)| peer.heartbeat.config_version > version)
-            .max_by_key(|(_, peer)| peer.heartbeat.config_version)
-            .map(|(ip, _)| *ip)
+    /// Draws one of the peers with the newest configuration, if it is newer than `version`.
+    ///
+    /// Load pattern: a large configuration spreads over slow links. All that have it
+    /// serve it, so that the first ones are not asked by everybody.
+    pub fn newest_config(
+        &self,
+        version: u64,
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> Option<Ipv4Addr> {
+        self.draw_newest(version, now, rng, |heartbeat| heartbeat.config_version)
+    }
+
+    /// Draws one of the peers with the newest list of backend servers, if it is newer than
+    /// `revision`.
+    pub fn newest_servers(
+        &self,
+        revision: u64,
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> Option<Ipv4Addr> {
+        self.draw_newest(revision, now, rng, |heartbeat| heartbeat.servers_revision)
     }
 
-    /// Returns the peer with the newest list of backend servers, if newer than `revision`.
-    pub fn newest_servers(&self, revision: u64, now: Instant) -> Option<Ipv4Addr> {
+    fn draw_newest(
+        &self,
+        own: u64,
+        now: Instant,
+        rng: &mut impl Rng,
+        number: impl Fn(&PeerHeartbeat) -> u64,
+    ) -> Option<Ipv4Addr> {
         self.alive(now)
-            .filter(|(_, peer)| peer.heartbeat.servers_revision > revision)
-            .max_by_key(|(_, peer)| peer.heartbeat.servers_revision)
-            .map(|(ip, _)| *ip)
+            .map(|(ip, peer)| (number(&peer.heartbeat), rng.next_u64(), *ip))
+            .filter(|(number, ..)| *number > own)
+            .max()
+            .map(|(.., ip)| ip)
     }
 
     /// Returns what all peers counted for a service, by the hash of its name.
--- a/crates/cactusbarrow_policy/src/shutdown.rs
+++ b/crates/cactusbarrow_policy/src/shutdown.rs
@@ -84,6 +84,11 @@
         })
     }
 
+    /// Decides on a new call: it is taken if its whole time passes before the end.
+    pub fn admits_call(&self, now: Instant, timeout: Duration) -> bool {
+        !self.has_begun() || self.time_left(now) >= timeout
+    }
+
     /// Decides on a new generation: `Err` tells when its caller may come back.
     ///
     /// One that can be expected to end in time is taken.
--- a/crates/cactusbarrow_policy/tests/gateways.rs
+++ b/crates/cactusbarrow_policy/tests/gateways.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use std::collections::HashSet;
 use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
 
@@ -11,6 +12,8 @@
 };
 use common::fixed;
 use proptest::prelude::*;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
 
 const FRESH: Duration = Duration::from_millis(100);
 
@@ -161,6 +164,27 @@
     );
 }
 
+/// Load pattern: a large configuration spreads over slow links.
+#[test]
+fn all_that_have_the_newest_configuration_are_asked_for_it() {
+    let now = Instant::now();
+    let mut table = PeerTable::new(PeerConfig::default(), ip(0), &[]);
+    for i in 1..=8 {
+        let config_version = if i <= 6 { 9 } else { 7 };
+        let heartbeat = PeerHeartbeat {
+            config_version,
+            ..heartbeat(1, 0)
+        };
+        table.record(ip(i), heartbeat, now);
+    }
+    let mut rng = StdRng::seed_from_u64(4);
+    let asked: HashSet<_> = (0..200)
+        .filter_map(|_| table.newest_config(7, now, &mut rng))
+        .collect();
+    assert_eq!(asked, (1..=6).map(ip).collect());
+    assert_eq!(table.newest_config(9, now, &mut rng), None);
+}
+
 #[test]
 fn gateways_find_each_other_through_one_seed() {
     let now = Instant::now();
--- a/crates/cactusbarrow_policy/tests/shutdown.rs
+++ b/crates/cactusbarrow_policy/tests/shutdown.rs
@@ -19,6 +19,23 @@
     );
 }
 
+/// Load pattern: most hosts of a zone stop at once, so the balancer sends callers to all of
+/// them until the end.
+#[test]
+fn a_call_that_the_end_would_cut_is_not_taken() {
+    let now = Instant::now();
+    let timeout = Duration::from_millis(1_200);
+    let mut shutdown = Shutdown::new(ShutdownConfig::default(), GRACE);
+    assert!(shutdown.admits_call(now, timeout));
+    shutdown.begin(now);
+    assert!(shutdown.admits_call(now + Duration::from_secs(3), timeout));
+    let late = now + Duration::from_millis(7_480);
+    assert!(
+        !shutdown.admits_call(late, timeout),
+        "the process ends 220 ms later"
+    );
+}
+
 #[test]
 fn a_caller_comes_back_when_the_balancer_sends_it_elsewhere() {
     let now = Instant::now();
