Read large configurations from the store itself

Heartbeats tell its size; from 48 KB a gateway that hears of a newer one reads it from the store, and asks a peer only if the store does not answer.

Ruled out: more places for askers (the link is full with two).

--- a/crates/cactusbarrow_gateway/src/peers.rs
+++ b/crates/cactusbarrow_gateway/src/peers.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cactusbarrow_adapter::Item;
+use cactusbarrow_adapter::{Item, StoreClient};
 use cactusbarrow_net::{Body, Clock, HttpClient, HttpVersion, NetError, collect_limited};
 use cactusbarrow_policy::{PeerHeartbeat, PeerLoad, RetryCount};
 use cactusbarrow_protocol::generated::{
@@ -45,6 +45,10 @@
 /// Size of the parts in which knowledge is sent, so that a slow link holds its asker's place.
 const PART_BYTES: usize = 4 << 10;
 
+/// Size from which a configuration is read from the store: a few gateways on slow links
+/// cannot send it to all others in time, and the store's own link is wide.
+const LARGE_CONFIG_BYTES: u64 = 48 << 10;
+
 /// Largest request for a gateway's knowledge.
 const MAX_REQUEST_BYTES: usize = 1_024;
 
@@ -58,13 +62,14 @@
 pub(crate) async fn run<C: Clock>(
     shared: Arc<Shared<C>>,
     socket: UdpSocket,
+    store: StoreClient,
     incarnation: u64,
     stop: CancellationToken,
 ) {
     let socket = Arc::new(socket);
     let receive = receive(shared.clone(), socket.clone());
     let send = send(shared.clone(), socket, incarnation);
-    let learn = learn(shared);
+    let learn = learn(shared, store);
     let all = async {
         tokio::join!(receive, send, learn);
     };
@@ -109,6 +114,7 @@
         incarnation,
         sequence,
         config_version: shared.version().0,
+        config_bytes: shared.config_bytes().try_into().unwrap_or(u32::MAX),
         servers_revision: shared.servers_revision(),
         loads: loads.iter().map(load_to_wire).collect(),
         peers: peers.iter().map(|ip| ip.to_bits()).collect(),
@@ -171,6 +177,7 @@
         incarnation: wire.incarnation,
         sequence: wire.sequence,
         config_version: wire.config_version,
+        config_bytes: wire.config_bytes.into(),
         servers_revision: wire.servers_revision,
         loads: wire.loads.iter().map(load_from_wire).collect(),
         peers: wire.peers.into_iter().map(Ipv4Addr::from_bits).collect(),
@@ -200,7 +207,7 @@
 }
 
 /// Asks a peer for news that the own store does not bring.
-async fn learn<C: Clock>(shared: Arc<Shared<C>>) {
+async fn learn<C: Clock>(shared: Arc<Shared<C>>, store: StoreClient) {
     let http = HttpClient::new(HttpVersion::Http1);
     loop {
         tokio::time::sleep(LEARN_INTERVAL).await;
@@ -213,6 +220,12 @@
         let Some(peer) = newer_peer(&shared) else {
             continue;
         };
+        if is_large_config(&shared, peer) {
+            match store_sync::read_configuration(&shared, &store).await {
+                Ok(()) => continue,
+                Err(e) => log::info!(step = e.step; "large configuration not read: {e}"),
+            }
+        }
         match ask(&http, &shared, peer).await {
             Ok(knowledge) => adopt(&shared, peer, knowledge),
             Err(e) => log::info!(step = e.step; "peer's knowledge not learned: {e}"),
@@ -220,6 +233,16 @@
     }
 }
 
+/// Returns whether a peer has a newer configuration that is too large to be asked for.
+fn is_large_config<C: Clock>(shared: &Shared<C>, peer: Ipv4Addr) -> bool {
+    let (version, now) = (shared.version().0, shared.now());
+    let peers = shared.peers();
+    let is_newer = peers
+        .newest_config(version, now, &mut *shared.rng())
+        .is_some();
+    is_newer && peers.config_bytes(peer) >= LARGE_CONFIG_BYTES
+}
+
 fn newer_peer<C: Clock>(shared: &Shared<C>) -> Option<Ipv4Addr> {
     let now = shared.now();
     let (version, revision) = (shared.version().0, shared.servers_revision());
--- a/crates/cactusbarrow_gateway/src/shared.rs
+++ b/crates/cactusbarrow_gateway/src/shared.rs
@@ -149,6 +149,12 @@
         lock(&self.replica)
     }
 
+    /// Returns the size of the configuration in force as it lies in the store.
+    pub(crate) fn config_bytes(&self) -> usize {
+        let replica = lock(&self.replica);
+        replica.config.as_ref().map_or(0, |item| item.value.len())
+    }
+
     /// Returns the store revision of the list of backend servers.
     pub(crate) fn servers_revision(&self) -> u64 {
         lock(&self.replica).changed
--- a/crates/cactusbarrow_gateway/src/start.rs
+++ b/crates/cactusbarrow_gateway/src/start.rs
@@ -52,7 +52,11 @@
     let health_stop = ListenerStop::default();
     let background = CancellationToken::new();
     let connections = TaskTracker::new();
-    tokio::spawn(store_sync::run(shared.clone(), store, background.clone()));
+    tokio::spawn(store_sync::run(
+        shared.clone(),
+        store.clone(),
+        background.clone(),
+    ));
     tokio::spawn(heartbeats::run(shared.clone(), background.clone()));
     let cx = shared.clone();
     let answer_health = move |req| {
@@ -75,6 +79,7 @@
     tokio::spawn(peers::run(
         shared.clone(),
         heartbeats_socket,
+        store,
         incarnation,
         background.clone(),
     ));
--- a/crates/cactusbarrow_gateway/src/store_sync.rs
+++ b/crates/cactusbarrow_gateway/src/store_sync.rs
@@ -173,6 +173,19 @@
     }
 }
 
+/// Reads the configuration alone, for a gateway that does not watch.
+pub(crate) async fn read_configuration<C: Clock>(
+    shared: &Shared<C>,
+    store: &StoreClient,
+) -> Result<(), StoreFailure> {
+    metrics::counter!("gateway_store_calls_total").increment(1);
+    let snapshot = store.read_all(CONFIG_KEY).await?;
+    for item in snapshot.items {
+        put(shared, item, &"store");
+    }
+    Ok(())
+}
+
 /// Takes all keys as they are.
 fn reset<C: Clock>(shared: &Shared<C>, snapshot: Snapshot) {
     let listed: HashSet<&str> = snapshot
--- a/crates/cactusbarrow_policy/src/peer_table.rs
+++ b/crates/cactusbarrow_policy/src/peer_table.rs
@@ -65,6 +65,8 @@
     pub sequence: u64,
     /// Version of the configuration in force there.
     pub config_version: u64,
+    /// Size of that configuration.
+    pub config_bytes: u64,
     /// Store revision of the list of backend servers there.
     pub servers_revision: u64,
     /// What it has in flight.
@@ -224,6 +226,13 @@
         self.draw_newest(version, now, rng, |heartbeat| heartbeat.config_version)
     }
 
+    /// Returns the size of the configuration that a peer has in force.
+    pub fn config_bytes(&self, peer: Ipv4Addr) -> u64 {
+        self.peers
+            .get(&peer)
+            .map_or(0, |peer| peer.heartbeat.config_bytes)
+    }
+
     /// Draws one of the peers with the newest list of backend servers, if it is newer than
     /// `revision`.
     pub fn newest_servers(
