Say once how a request without an answer is told, and drop dyn from connections

Found on reading the whole change again; behaviour stays. - The gateway took refusals of both plans apart again, with arms that could not occur; the plans now tell their outcome, by one function of Outcome. - The idle limit of a connection and the message of a failed connect were dyn; they are generic and owned. - Whether a newer configuration is large was decided by drawing a peer a second time; the table is asked for that peer's. - Reading a whole answer stood twice in the HTTP client, removing a copy's holder three times in the tests; a flag that nobody waited for was a watch channel.

--- a/crates/cactusbarrow_gateway/src/call.rs
+++ b/crates/cactusbarrow_gateway/src/call.rs
@@ -203,10 +203,7 @@
 }
 
 fn refusal_of<C: Clock>(req: &Admitted<C>, plan: &CallPlan, reason: Reason) -> Refusal {
-    match plan.refuse(reason) {
-        CallAction::Refuse { outcome, reason } => refusal(req, outcome, reason),
-        CallAction::Send | CallAction::Deliver => refusal(req, Outcome::Unknown, reason),
-    }
+    refusal(req, plan.outcome(), reason)
 }
 
 fn refusal<C: Clock>(req: &Admitted<C>, outcome: Outcome, reason: Reason) -> Refusal {
--- a/crates/cactusbarrow_gateway/src/connection.rs
+++ b/crates/cactusbarrow_gateway/src/connection.rs
@@ -33,11 +33,11 @@
 }
 
 /// Limits of a connection.
-pub(crate) struct ConnectionLimits {
+pub(crate) struct ConnectionLimits<I> {
     /// Longest head of a request, in bytes.
     pub(crate) header_bytes: usize,
     /// Returns the longest time without a request, as it is now.
-    pub(crate) idle: Box<dyn Fn() -> Duration + Send>,
+    pub(crate) idle: I,
 }
 
 /// Smallest buffer that hyper accepts for the head of a request.
@@ -47,15 +47,16 @@
 const IDLE_CHECK: Duration = Duration::from_secs(1);
 
 /// Serves one connection until it ends, is idle for too long, or `drain` is cancelled.
-pub(crate) async fn serve<C, H, F>(
+pub(crate) async fn serve<C, I, H, F>(
     stream: TcpStream,
     clock: C,
-    limits: ConnectionLimits,
+    limits: ConnectionLimits<I>,
     handler: H,
     drain: CancellationToken,
 ) -> Result<(), hyper::Error>
 where
     C: Clock,
+    I: Fn() -> Duration,
     H: Fn(Request<Incoming>) -> F,
     F: Future<Output = Response<Body>>,
 {
--- a/crates/cactusbarrow_gateway/src/exchange.rs
+++ b/crates/cactusbarrow_gateway/src/exchange.rs
@@ -53,15 +53,20 @@
     /// Connects within a time.
     pub(crate) async fn open(peer: SocketAddr, timeout: Duration) -> Result<Self, NetError> {
         const STEP: &str = "connect";
-        let failure = |message: &dyn std::fmt::Display, is_refused| NetError {
+        let failure = |message: String, is_refused| NetError {
             is_connect: true,
             is_refused,
             ..NetError::new(STEP, peer, message)
         };
         let stream = tokio::time::timeout(timeout, TcpStream::connect(peer))
             .await
-            .map_err(|_| failure(&"no connection in time", false))?
-            .map_err(|e| failure(&e, e.kind() == std::io::ErrorKind::ConnectionRefused))?;
+            .map_err(|_| failure("no connection in time".to_owned(), false))?
+            .map_err(|e| {
+                failure(
+                    e.to_string(),
+                    e.kind() == std::io::ErrorKind::ConnectionRefused,
+                )
+            })?;
         if let Err(e) = stream.set_nodelay(true) {
             log::debug!(step = STEP, peer:% = peer; "cannot set no delay: {e}");
         }
@@ -72,7 +77,7 @@
         let (sender, conn) = http1::Builder::new()
             .handshake(TokioIo::new(stream))
             .await
-            .map_err(|e| failure(&e, false))?;
+            .map_err(|e| failure(e.to_string(), false))?;
         let driver = tokio::spawn(async move {
             if let Err(e) = conn.await {
                 log::debug!(step = "drive connection", peer:% = peer; "connection ended: {e}");
--- a/crates/cactusbarrow_gateway/src/generation/course.rs
+++ b/crates/cactusbarrow_gateway/src/generation/course.rs
@@ -289,12 +289,9 @@
     }
 
     fn refused(&self, reason: Reason) -> Step {
-        match self.plan.refuse(reason) {
-            ResumeAction::Refuse { outcome, reason } => Step::Refused { outcome, reason },
-            ResumeAction::Start(_) | ResumeAction::Deliver => Step::Refused {
-                outcome: Outcome::Unknown,
-                reason,
-            },
+        Step::Refused {
+            outcome: self.plan.outcome(),
+            reason,
         }
     }
 
--- a/crates/cactusbarrow_gateway/src/listener.rs
+++ b/crates/cactusbarrow_gateway/src/listener.rs
@@ -74,16 +74,18 @@
     }
 }
 
-fn limits<C: Clock>(shared: &Arc<Shared<C>>) -> ConnectionLimits {
+fn limits<C: Clock>(
+    shared: &Arc<Shared<C>>,
+) -> ConnectionLimits<impl Fn() -> Duration + Send + use<C>> {
     let header_bytes = shared
         .routes()
         .map_or(DEFAULT_HEADER_BYTES, |routes| routes.limits.header_bytes);
     let shared = shared.clone();
     ConnectionLimits {
         header_bytes,
-        idle: Box::new(move || {
+        idle: move || {
             let routes = shared.routes();
             routes.map_or(DEFAULT_IDLE, |routes| routes.limits.idle_timeout)
-        }),
+        },
     }
 }
--- a/crates/cactusbarrow_gateway/src/peers.rs
+++ b/crates/cactusbarrow_gateway/src/peers.rs
@@ -235,12 +235,9 @@
 
 /// Returns whether a peer has a newer configuration that is too large to be asked for.
 fn is_large_config<C: Clock>(shared: &Shared<C>, peer: Ipv4Addr) -> bool {
-    let (version, now) = (shared.version().0, shared.now());
-    let peers = shared.peers();
-    let is_newer = peers
-        .newest_config(version, now, &mut *shared.rng())
-        .is_some();
-    is_newer && peers.config_bytes(peer) >= LARGE_CONFIG_BYTES
+    let version = shared.version().0;
+    let bytes = shared.peers().newer_config_bytes(peer, version);
+    bytes.is_some_and(|bytes| bytes >= LARGE_CONFIG_BYTES)
 }
 
 fn newer_peer<C: Clock>(shared: &Shared<C>) -> Option<Ipv4Addr> {
--- a/crates/cactusbarrow_gateway/src/shared.rs
+++ b/crates/cactusbarrow_gateway/src/shared.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::{IpAddr, Ipv4Addr};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -79,7 +80,7 @@
     link: Mutex<StoreLink>,
     shutdown: Mutex<Shutdown>,
     /// Set once the list of backend servers was read.
-    pub(crate) has_backends: watch::Sender<bool>,
+    has_backends: AtomicBool,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -117,7 +118,7 @@
             retries: Mutex::default(),
             rng: Mutex::new(StdRng::from_rng(&mut rand::rng())),
             shutdown: Mutex::new(shutdown),
-            has_backends: watch::Sender::new(false),
+            has_backends: AtomicBool::new(false),
         })
     }
 
@@ -176,6 +177,11 @@
         &self.load_changed
     }
 
+    /// Records that the list of backend servers was read.
+    pub(crate) fn record_backends_read(&self) {
+        self.has_backends.store(true, Ordering::Relaxed);
+    }
+
     pub(crate) fn link(&self) -> MutexGuard<'_, StoreLink> {
         lock(&self.link)
     }
@@ -217,7 +223,7 @@
     /// Returns whether the gateway can serve: it knows routes and backend servers and is open.
     pub(crate) fn is_ready(&self) -> bool {
         !self.shutdown().has_begun()
-            && *self.has_backends.borrow()
+            && self.has_backends.load(Ordering::Relaxed)
             && lock(&self.routes).current().is_some()
     }
 
--- a/crates/cactusbarrow_gateway/src/store_sync.rs
+++ b/crates/cactusbarrow_gateway/src/store_sync.rs
@@ -199,7 +199,7 @@
         put(shared, item, &"store");
     }
     shared.replica().advance(revision, true);
-    shared.has_backends.send_replace(true);
+    shared.record_backends_read();
     shared.load_changed().notify();
 }
 
@@ -216,7 +216,7 @@
         put(shared, item, source);
     }
     shared.replica().advance(revision, true);
-    shared.has_backends.send_replace(true);
+    shared.record_backends_read();
 }
 
 fn remove_unlisted<C: Clock>(shared: &Shared<C>, is_listed: impl Fn(&str) -> bool) {
--- a/crates/cactusbarrow_gateway/tests/generations.rs
+++ b/crates/cactusbarrow_gateway/tests/generations.rs
@@ -23,6 +23,17 @@
     world.engines.iter().find(has).expect("one was found")
 }
 
+/// Removes the entry of the engine that keeps the copy of an engine's first run.
+fn remove_holder(world: &World, engine: &BackendStandin) {
+    let holder = engine.runs()[0].headers["cactusbarrow-kv-backup"].clone();
+    let lost = world
+        .engines
+        .iter()
+        .find(|engine| engine.addr().to_string().as_bytes() == holder.as_bytes())
+        .expect("the holder is one of the engines");
+    world.store.delete(&format!("servers/{}", lost.instance()));
+}
+
 #[tokio::test]
 async fn a_generation_arrives_whole_with_its_engines_signature() {
     let world = World::start(2).await;
@@ -138,13 +149,7 @@
     let hurt = async {
         let engine = engine_of(&world, "still").await;
         engine.set_fault(Some(Fault::Stall));
-        let holder = engine.runs()[0].headers["cactusbarrow-kv-backup"].clone();
-        let lost = world
-            .engines
-            .iter()
-            .find(|engine| engine.addr().to_string().as_bytes() == holder.as_bytes())
-            .expect("the holder is one of the engines");
-        world.store.delete(&format!("servers/{}", lost.instance()));
+        remove_holder(&world, engine);
     };
     let both = async { tokio::join!(call, hurt).0 };
     let answer = tokio::time::timeout(common::PATIENCE / 2, both)
@@ -184,14 +189,7 @@
     let call = gateway.call(&req, "POST");
     let lose = async {
         let engine = engine_of(&world, "copied").await;
-        let holder = engine.runs()[0].headers["cactusbarrow-kv-backup"].clone();
-        let holder = holder.to_str().expect("an address").to_owned();
-        let lost = world
-            .engines
-            .iter()
-            .find(|engine| engine.addr().to_string() == holder)
-            .expect("the holder is one of the engines");
-        world.store.delete(&format!("servers/{}", lost.instance()));
+        remove_holder(&world, engine);
         eventually("the memory is copied again", || !engine.copies().is_empty()).await;
         tokio::time::sleep(std::time::Duration::from_millis(50)).await;
         engine.kill();
@@ -223,13 +221,7 @@
     let call = gateway.call(&req, "POST");
     let lose = async {
         let engine = engine_of(&world, "early").await;
-        let holder = engine.runs()[0].headers["cactusbarrow-kv-backup"].clone();
-        let lost = world
-            .engines
-            .iter()
-            .find(|engine| engine.addr().to_string().as_bytes() == holder.as_bytes())
-            .expect("the holder is one of the engines");
-        world.store.delete(&format!("servers/{}", lost.instance()));
+        remove_holder(&world, engine);
         engine
     };
     let (answer, engine) = tokio::join!(call, lose);
--- a/crates/cactusbarrow_net/src/http_client.rs
+++ b/crates/cactusbarrow_net/src/http_client.rs
@@ -81,12 +81,10 @@
         let peer = peer_of(&req);
         let late = || NetError::new(step, &peer, "no answer in time");
         let sent = tokio::time::timeout(head_timeout, self.send(step, req)).await;
-        let (parts, body) = sent.map_err(|_| late())??.into_parts();
-        let read = tokio::time::timeout(body_timeout, collect_limited(body, limit, &peer)).await;
-        match read.map_err(|_| late())?? {
-            Some(bytes) => Ok(Response::from_parts(parts, bytes)),
-            None => Err(NetError::new(step, &peer, "answer is too large")),
-        }
+        let res = sent.map_err(|_| late())??;
+        tokio::time::timeout(body_timeout, read_whole(step, &peer, res, limit))
+            .await
+            .map_err(|_| late())?
     }
 
     /// Sends a request and reads the whole response, within a time and size.
@@ -99,11 +97,8 @@
     ) -> Result<Response<Bytes>, NetError> {
         let peer = peer_of(&req);
         let exchange = async {
-            let (parts, body) = self.send(step, req).await?.into_parts();
-            match collect_limited(body, limit, &peer).await? {
-                Some(bytes) => Ok(Response::from_parts(parts, bytes)),
-                None => Err(NetError::new(step, &peer, "answer is too large")),
-            }
+            let res = self.send(step, req).await?;
+            read_whole(step, &peer, res, limit).await
         };
         tokio::time::timeout(timeout, exchange)
             .await
@@ -111,6 +106,19 @@
     }
 }
 
+async fn read_whole(
+    step: &'static str,
+    peer: &str,
+    res: Response<Incoming>,
+    limit: usize,
+) -> Result<Response<Bytes>, NetError> {
+    let (parts, body) = res.into_parts();
+    match collect_limited(body, limit, peer).await? {
+        Some(bytes) => Ok(Response::from_parts(parts, bytes)),
+        None => Err(NetError::new(step, peer, "answer is too large")),
+    }
+}
+
 fn peer_of(req: &Request<Body>) -> String {
     req.uri()
         .authority()
--- a/crates/cactusbarrow_policy/src/call_plan.rs
+++ b/crates/cactusbarrow_policy/src/call_plan.rs
@@ -85,6 +85,11 @@
         self.run > 0
     }
 
+    /// Returns what the caller is told if there is no answer.
+    pub fn outcome(&self) -> Outcome {
+        Outcome::without_answer(self.may_have_run())
+    }
+
     /// Records that the call goes to a backend server.
     ///
     /// Until its end is known it counts as run.
@@ -120,12 +125,10 @@
 
     /// Decides when no backend server is left, or the time is over.
     pub fn refuse(&self, reason: Reason) -> CallAction {
-        let outcome = if self.may_have_run() {
-            Outcome::Unknown
-        } else {
-            Outcome::NotRun
-        };
-        CallAction::Refuse { outcome, reason }
+        CallAction::Refuse {
+            outcome: self.outcome(),
+            reason,
+        }
     }
 
     fn can_run_again(&self, has_budget: bool) -> bool {
--- a/crates/cactusbarrow_policy/src/outcome.rs
+++ b/crates/cactusbarrow_policy/src/outcome.rs
@@ -14,6 +14,15 @@
 }
 
 impl Outcome {
+    /// Returns the outcome of a request without an answer.
+    pub fn without_answer(may_have_run: bool) -> Self {
+        if may_have_run {
+            Self::Unknown
+        } else {
+            Self::NotRun
+        }
+    }
+
     /// Returns the word used in the response header and body.
     pub fn as_str(self) -> &'static str {
         match self {
--- a/crates/cactusbarrow_policy/src/peer_table.rs
+++ b/crates/cactusbarrow_policy/src/peer_table.rs
@@ -226,11 +226,10 @@
         self.draw_newest(version, now, rng, |heartbeat| heartbeat.config_version)
     }
 
-    /// Returns the size of the configuration that a peer has in force.
-    pub fn config_bytes(&self, peer: Ipv4Addr) -> u64 {
-        self.peers
-            .get(&peer)
-            .map_or(0, |peer| peer.heartbeat.config_bytes)
+    /// Returns the size of a peer's configuration, if it is newer than `version`.
+    pub fn newer_config_bytes(&self, peer: Ipv4Addr, version: u64) -> Option<u64> {
+        let heartbeat = &self.peers.get(&peer)?.heartbeat;
+        (heartbeat.config_version > version).then_some(heartbeat.config_bytes)
     }
 
     /// Draws one of the peers with the newest list of backend servers, if it is newer than
--- a/crates/cactusbarrow_policy/src/resume_plan.rs
+++ b/crates/cactusbarrow_policy/src/resume_plan.rs
@@ -118,6 +118,11 @@
         self.run > 0
     }
 
+    /// Returns what the caller is told if there is no answer.
+    pub fn outcome(&self) -> Outcome {
+        Outcome::without_answer(self.may_have_run())
+    }
+
     /// Records that an attempt goes to `engine`, which copies its memory to `copy`.
     pub fn record_start(&mut self, engine: BackendKey, copy: Option<BackendKey>) {
         self.run += 1;
@@ -168,13 +173,10 @@
         }
     }
 
-    /// Decides when no engine is left, or the time is over.
-    pub fn refuse(&self, reason: Reason) -> ResumeAction {
-        let outcome = if self.may_have_run() {
-            Outcome::Unknown
-        } else {
-            Outcome::NotRun
-        };
-        ResumeAction::Refuse { outcome, reason }
+    fn refuse(&self, reason: Reason) -> ResumeAction {
+        ResumeAction::Refuse {
+            outcome: self.outcome(),
+            reason,
+        }
     }
 }
