Send callers that return to the engine with their prompt, and those without time away at once

After a power loss callers notice it after 18 s and come back together with 0.6 s to 7 s left; 16 of 18 left before their generation was complete. And callers that connected while all gateways started were refused 5 ms to 10 ms after the start, 20 ms before the store's first answer.

- Heartbeats tell the prompts of running generations; a gateway that knows nothing of a returning caller's prompt asks the engines, at most every 2 s.
- A generation that cannot be complete in its caller's time, by the mean pace of the last ones, is refused as not run before its prompt is read.
- A request waits up to 500 ms and an eighth of its patience for the first configuration, unless a call to the store has failed.
- A caller that leaves before the first event is logged; it left no line before.

Ruled out: going on from the copy of the earlier request.

--- a/crates/cactusbarrow_gateway/src/generation.rs
+++ b/crates/cactusbarrow_gateway/src/generation.rs
@@ -19,6 +19,11 @@
 pub(crate) async fn serve<C: Clock>(req: Admitted<C>, can_resume: bool) -> Response<Body> {
     req.shared.record_request(&req.service);
     let mut course = Course::new(req, can_resume);
+    course.find_prompt().await;
+    if !course.can_complete() {
+        let refusal = Refusal::not_run(Reason::Expired, course.retry_after());
+        return refuse(&mut course, &refusal);
+    }
     match course.next().await {
         Step::Event(bytes) => {
             let head = course.take_head();
@@ -33,44 +38,46 @@
             respond(StatusCode::OK, head, body)
         }
         Step::End => {
+            course.conclude();
             let head = course.take_head();
             respond(StatusCode::OK, head, Body::Empty)
         }
-        Step::Answer(head, body) => respond(head.status, head.headers, Body::full(body)),
+        Step::Answer(head, body) => {
+            course.conclude();
+            respond(head.status, head.headers, Body::full(body))
+        }
         Step::Refused { outcome, reason } => {
             let refusal = match outcome {
                 Outcome::NotRun => Refusal::not_run(reason, course.retry_after()),
                 Outcome::Unknown | Outcome::Failed => Refusal::unknown(reason),
             };
-            count_refusal("generation", &refusal);
-            log::info!(
-                request_id = course.request_id(),
-                status = refusal.status.as_u16(),
-                outcome = refusal.outcome.as_str(),
-                reason = refusal.reason.as_str(),
-                elapsed_ms = course.elapsed_ms();
-                "generation refused"
-            );
-            refusal.respond(course.request_id())
+            refuse(&mut course, &refusal)
         }
     }
 }
 
+fn refuse<C: Clock>(course: &mut Course<C>, refusal: &Refusal) -> Response<Body> {
+    course.conclude();
+    count_refusal("generation", refusal);
+    log::info!(
+        request_id = course.request_id(),
+        status = refusal.status.as_u16(),
+        outcome = refusal.outcome.as_str(),
+        reason = refusal.reason.as_str(),
+        last_event = course.last_event(),
+        time_left_ms = course.time_left_ms(),
+        elapsed_ms = course.elapsed_ms();
+        "generation refused"
+    );
+    refusal.respond(course.request_id())
+}
+
 /// Passes events on until the end, or until the caller leaves.
 async fn relay<C: Clock>(mut course: Course<C>, tx: BodySender) {
     loop {
         let step = tokio::select! {
             step = course.next() => step,
-            () = tx.closed() => {
-                log::info!(
-                    request_id = course.request_id(),
-                    reason = Reason::CallerGone.as_str(),
-                    last_event = course.last_event(),
-                    elapsed_ms = course.elapsed_ms();
-                    "caller left its generation"
-                );
-                return;
-            }
+            () = tx.closed() => return,
         };
         match step {
             Step::Event(bytes) => {
@@ -78,14 +85,15 @@
                     return;
                 }
             }
-            Step::End => return record_end(&course),
-            Step::Answer(..) => return break_off(&course, &tx, Reason::BackendError).await,
-            Step::Refused { reason, .. } => return break_off(&course, &tx, reason).await,
+            Step::End => return record_end(&mut course),
+            Step::Answer(..) => return break_off(&mut course, &tx, Reason::BackendError).await,
+            Step::Refused { reason, .. } => return break_off(&mut course, &tx, reason).await,
         }
     }
 }
 
-async fn break_off<C: Clock>(course: &Course<C>, tx: &BodySender, reason: Reason) {
+async fn break_off<C: Clock>(course: &mut Course<C>, tx: &BodySender, reason: Reason) {
+    course.conclude();
     metrics::counter!("gateway_broken_generations_total", "reason" => reason.as_str()).increment(1);
     log::warn!(
         request_id = course.request_id(),
@@ -101,7 +109,8 @@
     metrics::histogram!("gateway_first_event_seconds").record(course.elapsed_ms() as f64 / 1_000.0);
 }
 
-fn record_end<C: Clock>(course: &Course<C>) {
+fn record_end<C: Clock>(course: &mut Course<C>) {
+    course.conclude();
     course.record_complete();
     metrics::histogram!("gateway_generation_seconds").record(course.elapsed_ms() as f64 / 1_000.0);
     log::info!(
--- a/crates/cactusbarrow_gateway/src/generation/attempt.rs
+++ b/crates/cactusbarrow_gateway/src/generation/attempt.rs
@@ -6,7 +6,9 @@
 use bytes::Bytes;
 use cactusbarrow_adapter::{EngineAnswer, EngineRequest, Resume, decode_engine_answer};
 use cactusbarrow_net::{Clock, EventCutter, RawEvent, collect_limited};
-use cactusbarrow_policy::{BackendEntry, BackendKey, BackendWork, LossCause, ResumeEvent};
+use cactusbarrow_policy::{
+    BackendEntry, BackendKey, BackendWork, LossCause, PromptLocation, ResumeEvent, stable_hash,
+};
 use http::StatusCode;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -31,6 +33,8 @@
     /// Engine that keeps a copy of the memory.
     pub(crate) holder: Option<Holder>,
     pub(crate) resume: Option<Resume>,
+    /// Whether the engine still has the prompt in memory, as far as is known.
+    pub(crate) is_kept: bool,
     pub(crate) work: BackendWork,
 }
 
@@ -39,14 +43,42 @@
     shared: Arc<Shared<C>>,
     key: BackendKey,
     work: BackendWork,
+    /// The prompt and its engine, if the caller names the prompt.
+    location: Option<PromptLocation>,
     is_prompt_read: bool,
 }
 
+impl<C: Clock> Place<C> {
+    /// Counts a generation at the engine to which it goes.
+    fn take(req: &Admitted<C>, target: &Target) -> Self {
+        let shared = req.shared.clone();
+        let now = shared.now();
+        shared
+            .fleet()
+            .start_generation(target.key, target.work, now);
+        shared.load_changed().notify();
+        let location = req.prompt().map(|prompt| PromptLocation {
+            prompt,
+            engine: stable_hash(target.entry.instance.as_bytes()),
+        });
+        Self {
+            shared,
+            key: target.key,
+            work: target.work,
+            location,
+            is_prompt_read: false,
+        }
+    }
+}
+
 impl<C: Clock> Drop for Place<C> {
     fn drop(&mut self) {
         self.shared
             .fleet()
             .end_generation(self.key, self.work, self.is_prompt_read);
+        if let Some(location) = self.location {
+            self.shared.prompts().end(location);
+        }
         self.shared.load_changed().notify();
     }
 }
@@ -104,16 +136,7 @@
     ) -> Opened<C> {
         let shared = &req.shared;
         let lost = shared.lost_token(target.key);
-        shared
-            .fleet()
-            .start_generation(target.key, target.work, shared.now());
-        shared.load_changed().notify();
-        let place = Place {
-            shared: shared.clone(),
-            key: target.key,
-            work: target.work,
-            is_prompt_read: false,
-        };
+        let place = Place::take(req, &target);
         let conn = match Connection::open(target.entry.address, CONNECT_TIMEOUT).await {
             Ok(conn) => conn,
             Err(e) => {
@@ -241,6 +264,10 @@
             fleet.record_prompt_read(self.key, place.work);
             fleet.record_result(self.key, false, place.shared.now());
             drop(fleet);
+            if let Some(location) = place.location {
+                let now = place.shared.now();
+                place.shared.prompts().begin(location, now);
+            }
             place.shared.load_changed().notify();
         }
     }
--- a/crates/cactusbarrow_gateway/src/generation/course.rs
+++ b/crates/cactusbarrow_gateway/src/generation/course.rs
@@ -6,13 +6,14 @@
 use cactusbarrow_adapter::EngineAnswer;
 use cactusbarrow_net::{Clock, RawEvent};
 use cactusbarrow_policy::{
-    BackendEntry, BackendKey, BackendWork, Outcome, Reason, ResumeAction, ResumeEvent, ResumePlan,
-    Start,
+    BackendEntry, BackendKey, BackendWork, EnginePlacement, GenerationTimes, Outcome, Reason,
+    ResumeAction, ResumeEvent, ResumePlan, Start, stable_hash,
 };
 use http::HeaderMap;
 
 use super::attempt::{Attempt, Opened, Received, Running, Target};
 use super::copies::Holder;
+use crate::prompt_search;
 use crate::request::Admitted;
 
 /// Waits for the first event at a live engine, in latency objectives.
@@ -52,10 +53,28 @@
     head: Option<HeaderMap>,
     last_event: Option<u64>,
     engines: u64,
+    first_event_at: Option<Instant>,
     event_at: Option<Instant>,
     /// Start of the present attempt or its last event, whichever is later.
     progress_at: Instant,
     longest_pause: Duration,
+    /// Whether the caller was told how its generation ended.
+    is_concluded: bool,
+}
+
+impl<C: Clock> Drop for Course<C> {
+    fn drop(&mut self) {
+        if self.is_concluded {
+            return;
+        }
+        log::info!(
+            request_id = self.request_id(),
+            reason = Reason::CallerGone.as_str(),
+            last_event = self.last_event(),
+            elapsed_ms = self.elapsed_ms();
+            "caller left its generation"
+        );
+    }
 }
 
 impl<C: Clock> Course<C> {
@@ -68,9 +87,11 @@
             head: None,
             last_event: req.caller.last_event_id,
             engines: 0,
+            first_event_at: None,
             event_at: None,
             progress_at: req.arrived,
             longest_pause: Duration::ZERO,
+            is_concluded: false,
             req,
         }
     }
@@ -91,15 +112,59 @@
         self.longest_pause.as_millis() as u64
     }
 
+    pub(crate) fn time_left_ms(&self) -> u64 {
+        self.req.time_left().as_millis() as u64
+    }
+
     pub(crate) fn elapsed_ms(&self) -> u64 {
         self.req.shared.elapsed_since(self.req.arrived).as_millis() as u64
     }
 
-    /// Records the duration of a whole generation.
+    /// Records that the caller is told how its generation ended.
+    pub(crate) fn conclude(&mut self) {
+        self.is_concluded = true;
+    }
+
+    /// Records the duration and the pace of a whole generation.
     pub(crate) fn record_complete(&self) {
         let shared = &self.req.shared;
         let took = shared.elapsed_since(self.req.arrived);
         shared.shutdown().record_generation(took);
+        if let Some(first_event) = self.first_event_at {
+            shared.pace().record(&GenerationTimes {
+                arrived: self.req.arrived,
+                first_event,
+                end: shared.now(),
+                events_before: self.req.caller.last_event_id.unwrap_or(0),
+                last_event: self.last_event(),
+            });
+        }
+    }
+
+    /// Looks for the prompt of a caller that has been served in part elsewhere.
+    pub(crate) async fn find_prompt(&self) {
+        let req = &self.req;
+        let has_begun = req.caller.last_event_id.is_some();
+        let now = req.shared.now();
+        let is_unknown = |prompt| req.shared.prompts().find(prompt, now).is_none();
+        if has_begun && req.prompt().is_some_and(is_unknown) {
+            prompt_search::search(&req.shared, &req.service).await;
+        }
+    }
+
+    /// Returns whether the caller still has the time for the whole generation.
+    pub(crate) fn can_complete(&self) -> bool {
+        let is_kept = self.kept_at().is_some();
+        let pace = self.req.shared.pace();
+        pace.can_complete(self.req.time_left(), self.last_event, is_kept)
+    }
+
+    /// Returns the engine that still has the prompt in memory, by the hash of its instance.
+    fn kept_at(&self) -> Option<u64> {
+        let shared = &self.req.shared;
+        let now = shared.now();
+        let engine = shared.prompts().find(self.req.prompt()?, now)?;
+        shared.fleet().is_usable(engine, now).then_some(engine)
     }
 
     /// Draws when the caller may come back after a refusal.
@@ -198,6 +263,7 @@
         if let Some(at) = self.event_at.replace(now) {
             self.longest_pause = self.longest_pause.max(now.saturating_duration_since(at));
         } else {
+            self.first_event_at = Some(now);
             self.keep_head();
         }
         Ok(event.bytes)
@@ -224,6 +290,7 @@
             zone = &*target.entry.zone,
             copy = target.holder.as_ref().map_or("none", |h| &*h.entry.instance),
             from_copy = target.resume.is_some(),
+            kept = target.is_kept,
             last_event = self.last_event(),
             attempt = self.engines,
             elapsed_ms = self.elapsed_ms();
@@ -299,6 +366,7 @@
     fn target(&self) -> Option<Target> {
         let shared = &self.req.shared;
         let now = shared.now();
+        let kept_at = self.kept_at();
         let fleet = shared.fleet();
         let rng = &mut *shared.rng();
         let capacity = self.req.spec.kv_capacity;
@@ -318,9 +386,18 @@
             .map(|holder| holder.resume(self.request_id()));
         let (key, entry) = match holder {
             Some(holder) => holder,
-            None => fleet
-                .choose_engine(service, capacity, work, excluded, now, rng)
-                .and_then(entry_of)?,
+            None => {
+                let placement = EnginePlacement {
+                    service,
+                    capacity,
+                    work,
+                    excluded,
+                    kept_at,
+                };
+                fleet
+                    .choose_engine(&placement, now, rng)
+                    .and_then(entry_of)?
+            }
         };
         let copy = if self.req.spec.has_backups {
             let mut excluded = excluded.to_vec();
@@ -334,9 +411,10 @@
         };
         Some(Target {
             key,
-            entry,
             holder: copy,
             resume,
+            is_kept: kept_at == Some(stable_hash(entry.instance.as_bytes())),
+            entry,
             work,
         })
     }
--- a/crates/cactusbarrow_gateway/src/lib.rs
+++ b/crates/cactusbarrow_gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod heartbeats;
 mod listener;
 mod peers;
+mod prompt_search;
 mod request;
 mod shared;
 mod start;
--- a/crates/cactusbarrow_gateway/src/peers.rs
+++ b/crates/cactusbarrow_gateway/src/peers.rs
@@ -8,9 +8,10 @@
 use bytes::Bytes;
 use cactusbarrow_adapter::{Item, StoreClient};
 use cactusbarrow_net::{Body, Clock, HttpClient, HttpVersion, NetError, collect_limited};
-use cactusbarrow_policy::{PeerHeartbeat, PeerLoad, RetryCount};
+use cactusbarrow_policy::{PeerHeartbeat, PeerLoad, PromptId, PromptLocation, RetryCount};
 use cactusbarrow_protocol::generated::{
-    EngineLoad, GatewayHeartbeat, GatewayKnowledge, KnowledgeRequest, RetryUse, StoreItem,
+    EngineLoad, GatewayHeartbeat, GatewayKnowledge, KnowledgeRequest, PromptPlace, RetryUse,
+    StoreItem,
 };
 use http::{Method, Request, Response, StatusCode, Uri};
 use hyper::body::Incoming;
@@ -25,8 +26,11 @@
 /// Largest heartbeat that is sent; it fits into one packet.
 const MAX_HEARTBEAT_BYTES: usize = 1_400;
 
-/// Largest number of loads in a heartbeat, each up to 21 bytes.
-const MAX_LOADS: usize = 50;
+/// Largest number of loads in a heartbeat, each up to 23 bytes.
+const MAX_LOADS: usize = 38;
+
+/// Largest number of prompts in a heartbeat, each 20 bytes.
+const MAX_PROMPTS: usize = 12;
 
 /// Largest number of peers named in a heartbeat, each 4 bytes.
 const MAX_NAMED: usize = 40;
@@ -121,10 +125,23 @@
         retries: shared.retry_counts(now).map(retries_to_wire).collect(),
         is_store_ok: standing.is_store_ok,
         age_ms: standing.age.as_millis().try_into().unwrap_or(u32::MAX),
+        prompts: shared
+            .prompts()
+            .own()
+            .take(MAX_PROMPTS)
+            .map(prompt_to_wire)
+            .collect(),
     };
     heartbeat.encode_to_vec()
 }
 
+fn prompt_to_wire(location: PromptLocation) -> PromptPlace {
+    PromptPlace {
+        prompt: location.prompt.0,
+        engine: location.engine,
+    }
+}
+
 fn load_to_wire(load: &PeerLoad) -> EngineLoad {
     EngineLoad {
         engine: load.engine,
@@ -173,6 +190,7 @@
 
 fn record<C: Clock>(shared: &Shared<C>, from: Ipv4Addr, wire: GatewayHeartbeat) {
     let now = shared.now();
+    record_prompts(shared, &wire.prompts);
     let heartbeat = PeerHeartbeat {
         incarnation: wire.incarnation,
         sequence: wire.sequence,
@@ -196,6 +214,18 @@
     shared.announce_gone();
 }
 
+fn record_prompts<C: Clock>(shared: &Shared<C>, places: &[PromptPlace]) {
+    let now = shared.now();
+    let mut prompts = shared.prompts();
+    for place in places {
+        let location = PromptLocation {
+            prompt: PromptId(place.prompt),
+            engine: place.engine,
+        };
+        prompts.record(location, now);
+    }
+}
+
 fn load_from_wire(load: &EngineLoad) -> PeerLoad {
     PeerLoad {
         engine: load.engine,
--- /dev/null
+++ b/crates/cactusbarrow_gateway/src/prompt_search.rs
@@ -0,0 +1,97 @@
+//! Asks engines which prompts they keep, for callers whose gateway has ended.
+//!
+//! Load pattern: all gateways lose power at the same moment, so nobody remembers where
+//! prompts were read, and all callers return within a second.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use cactusbarrow_adapter::{decode_kept_parts, kept_parts_request};
+use cactusbarrow_net::{Clock, NetError, collect_limited};
+use cactusbarrow_policy::{BackendEntry, PromptId, PromptLocation, ServiceName, stable_hash};
+use http::StatusCode;
+use tokio::task::JoinSet;
+
+use crate::exchange::Connection;
+use crate::shared::Shared;
+
+/// Longest time of one search; its callers wait meanwhile.
+const SEARCH_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// Shortest time between two searches; lists delay the engines' work.
+const SEARCH_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Largest list of an engine.
+const MAX_LIST_BYTES: usize = 256 << 10;
+
+/// When engines were last asked; held while they are, so that others wait for the result.
+pub(crate) type LastSearch = tokio::sync::Mutex<Option<Instant>>;
+
+/// Looks where prompts are kept, unless that was done just now.
+pub(crate) async fn search<C: Clock>(shared: &Arc<Shared<C>>, service: &ServiceName) {
+    let mut last = shared.last_search().lock().await;
+    let now = shared.now();
+    if last.is_some_and(|at| now.saturating_duration_since(at) < SEARCH_INTERVAL) {
+        return;
+    }
+    *last = Some(now);
+    let engines = shared.fleet().usable_entries(service, now);
+    let asked = engines.len();
+    let mut lists = JoinSet::new();
+    for entry in engines {
+        lists.spawn(async move {
+            let parts = kept_parts(&entry).await;
+            (entry, parts)
+        });
+    }
+    let mut answered = 0;
+    let collect = async {
+        while let Some(list) = lists.join_next().await {
+            match list {
+                Ok((entry, Ok(parts))) => {
+                    answered += 1;
+                    record(shared, &entry, &parts);
+                }
+                Ok((entry, Err(e))) => {
+                    log::info!(instance = &*entry.instance, step = e.step; "kept prompts not listed: {e}");
+                }
+                Err(e) => log::error!("search for kept prompts failed: {e}"),
+            }
+        }
+    };
+    let is_complete = tokio::time::timeout(SEARCH_TIMEOUT, collect).await.is_ok();
+    metrics::counter!("gateway_prompt_searches_total").increment(1);
+    log::info!(
+        service = &**service,
+        asked = asked,
+        answered = answered,
+        complete = is_complete,
+        elapsed_ms = shared.elapsed_since(now).as_millis() as u64;
+        "engines asked for kept prompts"
+    );
+}
+
+fn record<C: Clock>(shared: &Shared<C>, entry: &BackendEntry, parts: &[String]) {
+    let now = shared.now();
+    let engine = stable_hash(entry.instance.as_bytes());
+    let mut prompts = shared.prompts();
+    for part in parts {
+        let prompt = PromptId::of_last_part(part);
+        prompts.record(PromptLocation { prompt, engine }, now);
+    }
+}
+
+async fn kept_parts(entry: &BackendEntry) -> Result<Vec<String>, NetError> {
+    const STEP: &str = "ask for kept prompts";
+    let address = entry.address;
+    let conn = Connection::open(address, SEARCH_TIMEOUT).await?;
+    let req = kept_parts_request(&address.to_string());
+    let (head, body, _driver) = conn.send(STEP, req).await?.into_parts();
+    if head.status != StatusCode::OK {
+        let status = format!("status {}", head.status);
+        return Err(NetError::new(STEP, address, status));
+    }
+    let body = collect_limited(body, MAX_LIST_BYTES, &entry.instance).await?;
+    let body = body.ok_or_else(|| NetError::new(STEP, address, "list is too large"))?;
+    decode_kept_parts(&body).map_err(|e| NetError::new(STEP, address, e))
+}
--- a/crates/cactusbarrow_gateway/src/request.rs
+++ b/crates/cactusbarrow_gateway/src/request.rs
@@ -7,8 +7,8 @@
 use cactusbarrow_adapter::CallerRequest;
 use cactusbarrow_net::{Body, Clock, collect_limited};
 use cactusbarrow_policy::{
-    CustomerSpec, LookupError, Reason, RequestKind, Route, RouteSet, ServiceName, ServiceSpec,
-    retry_after,
+    CustomerSpec, LookupError, PromptId, Reason, RequestKind, Route, RouteSet, ServiceName,
+    ServiceSpec, retry_after,
 };
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -47,6 +47,12 @@
         retry_after(self.time_left(), &mut *self.shared.rng())
     }
 
+    /// Returns the name of the request's prompt, if its caller names the parts.
+    pub(crate) fn prompt(&self) -> Option<PromptId> {
+        let part = self.caller.own_part.as_deref();
+        part.map(PromptId::of_last_part)
+    }
+
     /// Returns the time that is left for the answer.
     pub(crate) fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(self.shared.now())
@@ -110,7 +116,7 @@
         let wait = retry_after(patience, &mut *shared.rng());
         Refusal::not_run(reason, wait)
     };
-    let Some(routes) = shared.routes() else {
+    let Some(routes) = shared.first_routes(patience).await else {
         return Err(come_back(Reason::NoConfiguration));
     };
     let (route, customer) = look_up(&routes, &caller)?;
--- a/crates/cactusbarrow_gateway/src/shared.rs
+++ b/crates/cactusbarrow_gateway/src/shared.rs
@@ -9,9 +9,10 @@
 use cactusbarrow_adapter::{GatewaySettings, Item};
 use cactusbarrow_net::Clock;
 use cactusbarrow_policy::{
-    BackendFleet, BackendKey, FleetConfig, LossCause, PeerConfig, PeerTable, RetryCount,
-    RetryLimits, RetryWindow, Revision, RouteSet, RouteSetCell, ServiceName, Shutdown,
-    ShutdownConfig, StoreStanding, WatchDutyConfig, is_watcher, stable_hash,
+    BackendFleet, BackendKey, FleetConfig, GenerationPace, LossCause, PeerConfig, PeerTable,
+    PromptLocationConfig, PromptLocations, RetryCount, RetryLimits, RetryWindow, Revision,
+    RouteSet, RouteSetCell, ServiceName, Shutdown, ShutdownConfig, StoreStanding, WatchDutyConfig,
+    is_watcher, stable_hash, start_wait,
 };
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -19,6 +20,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::peers::{LoadChanged, MAX_ASKERS};
+use crate::prompt_search::LastSearch;
 use crate::store_sync::StoreLink;
 
 /// Share of the platform's retry budget that the gateways plan with.
@@ -64,6 +66,7 @@
 /// What all tasks of a gateway share.
 pub(crate) struct Shared<C> {
     pub(crate) settings: GatewaySettings,
+    started: Instant,
     pub(crate) clock: C,
     routes: Mutex<RouteSetCell>,
     routes_version: watch::Sender<Revision>,
@@ -79,6 +82,9 @@
     askers: Arc<Semaphore>,
     link: Mutex<StoreLink>,
     shutdown: Mutex<Shutdown>,
+    pace: Mutex<GenerationPace>,
+    prompts: Mutex<PromptLocations>,
+    last_search: LastSearch,
     /// Set once the list of backend servers was read.
     has_backends: AtomicBool,
 }
@@ -104,6 +110,7 @@
         let shutdown = Shutdown::new(ShutdownConfig::default(), settings.grace);
         Arc::new(Self {
             settings,
+            started: clock.now(),
             replica: Mutex::default(),
             peers: Mutex::new(peers),
             load_changed: LoadChanged::default(),
@@ -118,6 +125,9 @@
             retries: Mutex::default(),
             rng: Mutex::new(StdRng::from_rng(&mut rand::rng())),
             shutdown: Mutex::new(shutdown),
+            pace: Mutex::default(),
+            last_search: LastSearch::default(),
+            prompts: Mutex::new(PromptLocations::new(PromptLocationConfig::default())),
             has_backends: AtomicBool::new(false),
         })
     }
@@ -131,6 +141,20 @@
         lock(&self.routes).current().cloned()
     }
 
+    /// Returns the configuration in force; shortly after the start it waits for the first.
+    pub(crate) async fn first_routes(&self, patience: Duration) -> Option<Arc<RouteSet>> {
+        if let Some(routes) = self.routes() {
+            return Some(routes);
+        }
+        let is_store_ok = self.link().is_ok();
+        let wait = start_wait(self.elapsed_since(self.started), patience, is_store_ok);
+        let mut versions = self.routes_version();
+        let first = versions.wait_for(|version| *version > Revision(0));
+        // Whether one came shows below.
+        drop(tokio::time::timeout(wait, first).await);
+        self.routes()
+    }
+
     /// Takes a configuration if it is newer than the one in force.
     pub(crate) fn offer_routes(&self, set: RouteSet) -> bool {
         let version = set.version;
@@ -169,6 +193,18 @@
         lock(&self.shutdown)
     }
 
+    pub(crate) fn pace(&self) -> MutexGuard<'_, GenerationPace> {
+        lock(&self.pace)
+    }
+
+    pub(crate) fn prompts(&self) -> MutexGuard<'_, PromptLocations> {
+        lock(&self.prompts)
+    }
+
+    pub(crate) fn last_search(&self) -> &LastSearch {
+        &self.last_search
+    }
+
     pub(crate) fn askers(&self) -> &Arc<Semaphore> {
         &self.askers
     }
--- a/crates/cactusbarrow_policy/src/backend_fleet.rs
+++ b/crates/cactusbarrow_policy/src/backend_fleet.rs
@@ -56,6 +56,24 @@
         self.by_instance.get(instance).copied()
     }
 
+    /// Returns whether an engine that is named by the hash of its instance can be used now.
+    pub fn is_usable(&self, instance_hash: u64, now: Instant) -> bool {
+        let mut named = self
+            .backends
+            .values()
+            .filter(|b| b.instance_hash == instance_hash);
+        named.any(|b| b.tier(now) == Some(0))
+    }
+
+    /// Returns the entries of a service that can be used now.
+    pub fn usable_entries(&self, service: &str, now: Instant) -> Vec<BackendEntry> {
+        self.backends
+            .values()
+            .filter(|b| &*b.entry.service == service && b.tier(now) == Some(0))
+            .map(|b| b.entry.clone())
+            .collect()
+    }
+
     /// Returns the number of backend servers that are listed as ready.
     pub fn ready_count(&self) -> usize {
         let is_ready = |backend: &&Backend| backend.listing == Listing::Ready;
--- a/crates/cactusbarrow_policy/src/lib.rs
+++ b/crates/cactusbarrow_policy/src/lib.rs
@@ -20,6 +20,7 @@
 mod gate;
 mod generation;
 mod generation_event;
+mod generation_pace;
 mod hash;
 mod health;
 mod heartbeat;
@@ -29,6 +30,7 @@
 mod outcome;
 mod peer_table;
 mod placement;
+mod prompt_locations;
 mod queue;
 mod resume_plan;
 mod retry;
@@ -36,6 +38,7 @@
 mod retry_window;
 mod route_set;
 mod shutdown;
+mod start_wait;
 mod subset;
 mod suspicion;
 mod text;
@@ -58,6 +61,7 @@
 pub use generation_event::{
     Action, AttemptEnd, EndReason, Event, Favor, GenerationConfig, GenerationStats,
 };
+pub use generation_pace::{GenerationPace, GenerationTimes};
 pub use hash::{mix, rendezvous_order, rendezvous_weight, stable_hash};
 pub use health::{BackendHealth, HealthConfig};
 pub use heartbeat::{Heartbeat, HeartbeatConfig, HeartbeatStep};
@@ -66,6 +70,8 @@
 pub use orders::{EngineOrders, LoadOrder, OrderConfig};
 pub use outcome::{Outcome, Reason};
 pub use peer_table::{PeerConfig, PeerHeartbeat, PeerLoad, PeerTable};
+pub use placement::EnginePlacement;
+pub use prompt_locations::{PromptId, PromptLocation, PromptLocationConfig, PromptLocations};
 pub use queue::{FairQueue, QueueOrder, Ticket};
 pub use resume_plan::{ResumeAction, ResumeEvent, ResumePlan, Start};
 pub use retry::{Backoff, RetryBudget};
@@ -76,6 +82,7 @@
     ServiceName, ServiceSpec,
 };
 pub use shutdown::{Shutdown, ShutdownConfig};
+pub use start_wait::start_wait;
 pub use subset::{Member, SubsetConfig, select_subset};
 pub use suspicion::{Suspicion, SuspicionConfig};
 pub use text::Utf8Assembler;
--- a/crates/cactusbarrow_policy/src/placement.rs
+++ b/crates/cactusbarrow_policy/src/placement.rs
@@ -13,19 +13,47 @@
 /// Gateways beyond which further ones that avoid an engine add nothing.
 const MAX_AVOIDERS: u64 = 4;
 
+/// A generation that is to be placed.
+#[derive(Clone, Copy, Debug)]
+pub struct EnginePlacement<'a> {
+    /// Its service.
+    pub service: &'a str,
+    /// Memory of one engine of the service, in tokens; 0 if not stated.
+    pub capacity: u64,
+    /// What it takes.
+    pub work: Work,
+    /// Engines that get no further attempt.
+    pub excluded: &'a [BackendKey],
+    /// Engine that has its prompt in memory, by the hash of its instance.
+    pub kept_at: Option<u64>,
+}
+
 impl BackendFleet {
     /// Chooses the engine for a generation.
+    ///
+    /// An engine that has its prompt in memory is preferred as long as others are not much
+    /// less busy.
     pub fn choose_engine(
         &self,
-        service: &str,
-        capacity: u64,
-        work: Work,
-        excluded: &[BackendKey],
+        placement: &EnginePlacement<'_>,
         now: Instant,
         rng: &mut impl Rng,
     ) -> Option<BackendKey> {
+        let EnginePlacement {
+            service,
+            capacity,
+            work,
+            excluded,
+            kept_at,
+        } = *placement;
         let fits = |b: &Backend| b.fits(capacity, self.cfg.memory_share, work.memory_tokens);
+        let gain = self.cfg.kept_prompt_gain * work.prompt_tokens as f64;
         self.choose(service, excluded, now, rng, fits, |b| {
+            let kept = if kept_at == Some(b.instance_hash) {
+                gain
+            } else {
+                0.0
+            };
             let running = b.generations as u64 + b.remote_generations;
             let unread = b.unread_tokens + b.remote_unread_tokens;
             let avoided = b.remote_avoiders.min(MAX_AVOIDERS) * self.cfg.avoider_cost;
@@ -33,6 +61,7 @@
             let failures = b.failures.now(self.cfg.failure_half_life, now);
             (unread + running * self.cfg.running_cost + avoided + zone) as f64
                 + failures * self.cfg.engine_failure_cost
+                - kept
         })
     }
 
