Soak gateways as processes under faults from outside

`examples/soak` starts `cactusbarrowd gateway` processes on loopback addresses, with callers that keep connections, and draws faults from a seed: backend servers that fail, hang, freeze, end, drain and come back under another instance at the same address; links that are delayed, reset, refused or cut one way; a store that is busy, silent, cut off from one gateway or without history; gateways that are killed, paused, stopped, told to reload; configurations in quick succession. One to six sources of faults overlap. It judges from what callers and servers saw: answers whole and their own, no token missing, repeated or mixed, at most once, not run only when true, no work for servers that leave, planned work cuts nothing, configuration in force in time and never reverting, all served in calm, no process that ends by itself. Clocks: gateways read the steady clock only, so none is changed.

--- /dev/null
+++ b/examples/soak/flags.rs
@@ -0,0 +1,19 @@
+//! Command line of the soak.
+
+xflags::xflags! {
+    /// Runs gateways as processes, injects faults from outside and checks the promises.
+    cmd soak {
+        /// First seed; 1 if absent.
+        optional --seed seed: u64
+        /// Number of seeds, one after the other; 1 if absent.
+        optional --seeds seeds: u64
+        /// Seconds of faults with each seed; 12 if absent.
+        optional --seconds seconds: u64
+        /// Number of gateways; 3 if absent.
+        optional --gateways gateways: usize
+        /// Number of engines; 6 if absent.
+        optional --engines engines: usize
+        /// Number of callers; 16 if absent.
+        optional --callers callers: usize
+    }
+}
--- a/tools/ci/experiments.sh
+++ b/tools/ci/experiments.sh
@@ -9,4 +9,6 @@
     passed=$((passed + 1))
 done
 cargo run --locked --quiet --release --example demo
+cargo build --locked --quiet --release
+cargo run --locked --quiet --release --example soak -- --seed 1 --seconds 8
 echo "experiments: $passed passed, 0 failed"
