Place returning callers by what is still to be read at their engine

A running generation costs something because a prompt that is read beside it delays both; a kept prompt is not read. So the cost of running generations and of the own prompt counts only where the prompt has to be read.

`generation complete` tells the time to the first event.

--- a/crates/cactusbarrow_gateway/src/generation.rs
+++ b/crates/cactusbarrow_gateway/src/generation.rs
@@ -117,6 +117,7 @@
         request_id = course.request_id(),
         last_event = course.last_event(),
         engines = course.engines(),
+        first_event_ms = course.first_event_ms(),
         longest_pause_ms = course.longest_pause_ms(),
         elapsed_ms = course.elapsed_ms();
         "generation complete"
--- a/crates/cactusbarrow_gateway/src/generation/course.rs
+++ b/crates/cactusbarrow_gateway/src/generation/course.rs
@@ -108,6 +108,13 @@
         self.engines
     }
 
+    pub(crate) fn first_event_ms(&self) -> u64 {
+        let first = self.first_event_at.unwrap_or(self.req.arrived);
+        first
+            .saturating_duration_since(self.req.arrived)
+            .as_millis() as u64
+    }
+
     pub(crate) fn longest_pause_ms(&self) -> u64 {
         self.longest_pause.as_millis() as u64
     }
--- a/crates/cactusbarrow_policy/src/fleet_config.rs
+++ b/crates/cactusbarrow_policy/src/fleet_config.rs
@@ -26,9 +26,6 @@
     pub copy_cost_step: u64,
     /// How long a loss counts against its zone.
     pub zone_loss_memory: Duration,
-    /// Gain of an engine that has the prompt in memory, in prompts: it is not read, and it
-    /// delays no other generation there.
-    pub kept_prompt_gain: f64,
     /// Share of an engine's memory that is planned with.
     pub memory_share: f64,
     /// Weight of the newest result in the failure rate of a backend server.
@@ -57,7 +54,6 @@
             zone_loss_cost: 20_000,
             copy_cost_step: 8_000,
             zone_loss_memory: Duration::from_millis(1_500),
-            kept_prompt_gain: 2.0,
             memory_share: 0.9,
             failure_weight: 0.4,
             failure_half_life: Duration::from_secs(4),
--- a/crates/cactusbarrow_policy/src/placement.rs
+++ b/crates/cactusbarrow_policy/src/placement.rs
@@ -47,21 +47,19 @@
             kept_at,
         } = *placement;
         let fits = |b: &Backend| b.fits(capacity, self.cfg.memory_share, work.memory_tokens);
-        let gain = self.cfg.kept_prompt_gain * work.prompt_tokens as f64;
         self.choose(service, excluded, now, rng, fits, |b| {
-            let kept = if kept_at == Some(b.instance_hash) {
-                gain
+            let running = b.generations as u64 + b.remote_generations;
+            // Generations delay each other while a prompt is read, and a kept one is not.
+            let reading = if kept_at == Some(b.instance_hash) {
+                0
             } else {
-                0.0
+                work.prompt_tokens + running * self.cfg.running_cost
             };
-            let running = b.generations as u64 + b.remote_generations;
             let unread = b.unread_tokens + b.remote_unread_tokens;
             let avoided = b.remote_avoiders.min(MAX_AVOIDERS) * self.cfg.avoider_cost;
             let zone = self.zone_cost(&b.entry.zone, now);
             let failures = b.failures.now(self.cfg.failure_half_life, now);
-            (unread + running * self.cfg.running_cost + avoided + zone) as f64
-                + failures * self.cfg.engine_failure_cost
-                - kept
+            (unread + reading + avoided + zone) as f64 + failures * self.cfg.engine_failure_cost
         })
     }
 
--- a/crates/cactusbarrow_policy/tests/backend_fleet.rs
+++ b/crates/cactusbarrow_policy/tests/backend_fleet.rs
@@ -380,9 +380,15 @@
     }
     for _ in 0..3 {
         fleet.start_generation(kept, PROMPT, now);
+        fleet.record_prompt_read(kept, PROMPT);
     }
     let chosen = choose_kept(&fleet, kept_at, now, &mut rng(0));
-    assert_ne!(chosen, Some(kept), "three prompts are read there");
+    assert_eq!(chosen, Some(kept), "all that runs there has been read");
+    for _ in 0..2 {
+        fleet.start_generation(kept, PROMPT, now);
+    }
+    let chosen = choose_kept(&fleet, kept_at, now, &mut rng(0));
+    assert_ne!(chosen, Some(kept), "two prompts are read there");
     fleet.record_loss(kept, LossCause::Refused, now);
     assert!(!fleet.is_usable(stable_hash(b"i-4"), now));
 }
