--- a/examples/experiment/main.rs
+++ b/examples/experiment/main.rs
@@ -4,6 +4,7 @@
 //! What is counted is counted in the callers and in the stand-ins, not by the system itself.
 
 mod at_most_once;
+mod backup;
 mod config;
 mod control_cost;
 mod drain;
@@ -47,6 +48,7 @@
             "failover" => failover::run(seed, is_short).await,
             "router_loss" => router_loss::run(seed, is_short).await,
             "at_most_once" => at_most_once::run(seed, is_short).await,
+            "backup" => backup::run(seed, is_short).await,
             "drain" => drain::run(seed, is_short).await,
             "config" => config::run(seed, is_short).await,
             "overhead" => overhead::run(seed, is_short).await,
