Tell other gateways of engines that were replaced

Cause: engines of a zone start again as other instances while the store is away, so the list still names the old ones.

The test was written first and failed.

--- a/crates/cactusbarrow_policy/src/backend.rs
+++ b/crates/cactusbarrow_policy/src/backend.rs
@@ -162,13 +162,7 @@
 
     /// Returns whether it gets no work for a while although its entry is in force.
     pub(crate) fn is_suspended(&self) -> bool {
-        let is_lost = matches!(
-            self.health,
-            Health::Down {
-                is_replaced: false,
-                ..
-            }
-        );
+        let is_lost = matches!(self.health, Health::Down { .. });
         is_lost && self.listing != Listing::Leaving
     }
 
--- a/crates/cactusbarrow_policy/tests/backend_fleet.rs
+++ b/crates/cactusbarrow_policy/tests/backend_fleet.rs
@@ -392,3 +392,28 @@
     fleet.record_loss(kept, LossCause::Refused, now);
     assert!(!fleet.is_usable(stable_hash(b"i-4"), now));
 }
+
+/// Load pattern: engines of a zone end and start again as other instances while the store is
+/// away, so the list names the old ones. Each gateway that meets one is told so at once;
+/// without its word all others meet it, too, and use up the retry budget.
+#[test]
+fn an_engine_that_was_replaced_is_told_to_others() {
+    let now = Instant::now();
+    let mut first = fleet(6, 3, now);
+    let mut second = fleet(6, 3, now);
+    for name in ["i-0", "i-3"] {
+        let key = first.key_of(name).expect("it is listed");
+        first.record_loss(key, LossCause::Replaced, now);
+    }
+    let told = first.own_loads(now);
+    assert_eq!(told.iter().filter(|load| load.avoiders > 0).count(), 2);
+    let by_engine: HashMap<u64, PeerLoad> = told.iter().map(|load| (load.engine, *load)).collect();
+    second.record_remote_loads(&by_engine);
+    for seed in 0..50 {
+        let key = choose(&second, now, &mut rng(seed)).expect("four engines are left");
+        assert!(!["i-0", "i-3"].contains(&instance(&second, key).as_str()));
+    }
+    first.remove_instance("i-0");
+    first.remove_instance("i-3");
+    assert!(first.own_loads(now).is_empty(), "the list says so itself");
+}
