Use an older copy where its renewal fails, and judge a caller's time by route and size

The pace of generations was one mean for all routes and stayed in force without end: a deployment with short answers beside long summaries would have refused the short ones, and after an overload in which everything was refused nothing new would have been measured, so refusals would not have ended. It is kept by route now, scaled by the tokens that the caller states, and judges nobody once it is 2 s old.

Prompts of a heartbeat are taken only from one that is not older than the last.

--- a/crates/cactusbarrow_gateway/src/generation/copies.rs
+++ b/crates/cactusbarrow_gateway/src/generation/copies.rs
@@ -181,8 +181,18 @@
                 }));
             }
             Err(e) => {
-                log::info!(request_id = request_id, step = e.step; "memory not copied: {e}");
-                self.set_holder(None);
+                // An older copy still stands unless its engine is gone, too.
+                let is_gone = |holder: &Holder| holder.gone.is_cancelled();
+                let has_copy = self.holder.as_ref().is_some_and(|holder| !is_gone(holder));
+                log::info!(
+                    request_id = request_id,
+                    step = e.step,
+                    has_older_copy = has_copy;
+                    "memory not copied: {e}"
+                );
+                if !has_copy {
+                    self.set_holder(None);
+                }
             }
         }
     }
--- a/crates/cactusbarrow_gateway/src/generation/course.rs
+++ b/crates/cactusbarrow_gateway/src/generation/course.rs
@@ -6,8 +6,8 @@
 use cactusbarrow_adapter::EngineAnswer;
 use cactusbarrow_net::{Clock, RawEvent};
 use cactusbarrow_policy::{
-    BackendEntry, BackendKey, BackendWork, EnginePlacement, GenerationTimes, Outcome, Reason,
-    ResumeAction, ResumeEvent, ResumePlan, Start, stable_hash,
+    BackendEntry, BackendKey, BackendWork, EnginePlacement, GenerationSize, GenerationTimes,
+    Outcome, Reason, ResumeAction, ResumeEvent, ResumePlan, Start, stable_hash,
 };
 use http::HeaderMap;
 
@@ -138,13 +138,14 @@
         let took = shared.elapsed_since(self.req.arrived);
         shared.shutdown().record_generation(took);
         if let Some(first_event) = self.first_event_at {
-            shared.pace().record(&GenerationTimes {
+            let times = GenerationTimes {
+                size: self.size(),
                 arrived: self.req.arrived,
                 first_event,
                 end: shared.now(),
-                events_before: self.req.caller.last_event_id.unwrap_or(0),
                 last_event: self.last_event(),
-            });
+            };
+            shared.pace().record(&self.req.route, &times);
         }
     }
 
@@ -162,8 +163,25 @@
     /// Returns whether the caller still has the time for the whole generation.
     pub(crate) fn can_complete(&self) -> bool {
         let is_kept = self.kept_at().is_some();
-        let pace = self.req.shared.pace();
-        pace.can_complete(self.req.time_left(), self.last_event, is_kept)
+        let req = &self.req;
+        let pace = req.shared.pace();
+        pace.can_complete(
+            &req.route,
+            &self.size(),
+            is_kept,
+            req.time_left(),
+            req.shared.now(),
+        )
+    }
+
+    /// Returns what the caller asked for when it came.
+    fn size(&self) -> GenerationSize {
+        let caller = &self.req.caller;
+        GenerationSize {
+            prompt_tokens: caller.prompt_tokens,
+            output_tokens: caller.output_tokens,
+            last_event: caller.last_event_id.unwrap_or(0),
+        }
     }
 
     /// Returns the engine that still has the prompt in memory, by the hash of its instance.
--- a/crates/cactusbarrow_gateway/src/peers.rs
+++ b/crates/cactusbarrow_gateway/src/peers.rs
@@ -190,7 +190,6 @@
 
 fn record<C: Clock>(shared: &Shared<C>, from: Ipv4Addr, wire: GatewayHeartbeat) {
     let now = shared.now();
-    record_prompts(shared, &wire.prompts);
     let heartbeat = PeerHeartbeat {
         incarnation: wire.incarnation,
         sequence: wire.sequence,
@@ -210,6 +209,7 @@
         }
         peers.loads(now)
     };
+    record_prompts(shared, &wire.prompts);
     shared.fleet().record_remote_loads(&loads);
     shared.announce_gone();
 }
--- a/crates/cactusbarrow_gateway/src/request.rs
+++ b/crates/cactusbarrow_gateway/src/request.rs
@@ -28,6 +28,8 @@
     pub(crate) shared: Arc<Shared<C>>,
     pub(crate) caller: CallerRequest,
     pub(crate) body: Bytes,
+    /// Name of the route.
+    pub(crate) route: String,
     pub(crate) kind: RequestKind,
     pub(crate) attempts: u32,
     pub(crate) objective: Duration,
@@ -137,6 +139,7 @@
         shared: shared.clone(),
         caller,
         body,
+        route: route.name.clone(),
         kind: route.kind,
         attempts: route.attempts,
         objective: route.objective,
--- a/crates/cactusbarrow_gateway/tests/common/mod.rs
+++ b/crates/cactusbarrow_gateway/tests/common/mod.rs
@@ -45,6 +45,11 @@
 impl World {
     /// Starts a store with a configuration, engines in two zones and two plain servers.
     pub(crate) async fn start(engines: usize) -> Self {
+        Self::start_paced(engines, Duration::from_millis(20)).await
+    }
+
+    /// Starts the same with one event of a generation every `pace`.
+    pub(crate) async fn start_paced(engines: usize, pace: Duration) -> Self {
         let store = StoreStandin::start().await.expect("start the store");
         store.put("op/config", &config_json(7, &[KEY]));
         let mut world = Self {
@@ -53,7 +58,6 @@
             apps: Vec::new(),
         };
         for i in 0..engines {
-            let pace = Duration::from_millis(20);
             let engine = BackendStandin::start(&format!("engine-{i}"), EVENTS, pace)
                 .await
                 .expect("start an engine");
--- a/crates/cactusbarrow_gateway/tests/generations.rs
+++ b/crates/cactusbarrow_gateway/tests/generations.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::time::Duration;
+
 use cactusbarrow_adapter_standins::{BackendStandin, Fault};
 use common::{EVENTS, World, eventually, head};
 
@@ -158,6 +160,31 @@
     assert_eq!(answer.event_ids(), whole());
 }
 
+/// Load pattern: a zone falls silent, and a copy is to be renewed by an engine of it just then.
+/// The copy of before still stands elsewhere.
+#[tokio::test]
+async fn a_copy_that_cannot_be_renewed_is_still_used() {
+    let world = World::start_paced(4, Duration::from_millis(70)).await;
+    let gateway = world.one_gateway().await;
+    let req = head("renewed", "/stream/1");
+    let call = gateway.call(&req, "POST");
+    let hurt = async {
+        let engine = engine_of(&world, "renewed").await;
+        remove_holder(&world, engine);
+        eventually("the copy is made elsewhere", || engine.copies().len() == 1).await;
+        engine.set_fault(Some(Fault::RefuseCopies));
+        eventually("its renewal is declined", || engine.copies().len() > 1).await;
+        engine.set_fault(Some(Fault::BreakOff));
+        engine.addr()
+    };
+    let (answer, first) = tokio::join!(call, hurt);
+    assert_eq!(answer.event_ids(), whole());
+    let second = world.engines.iter().filter(|engine| engine.addr() != first);
+    let runs: Vec<_> = second.flat_map(BackendStandin::runs).collect();
+    assert_eq!(runs.len(), 1);
+    assert_eq!(runs[0].headers["kv-from"], format!("{first}/h1").as_str());
+}
+
 #[tokio::test]
 async fn a_caller_that_returns_gets_what_follows_its_last_event() {
     let world = World::start(2).await;
--- a/crates/cactusbarrow_policy/src/lib.rs
+++ b/crates/cactusbarrow_policy/src/lib.rs
@@ -61,7 +61,7 @@
 pub use generation_event::{
     Action, AttemptEnd, EndReason, Event, Favor, GenerationConfig, GenerationStats,
 };
-pub use generation_pace::{GenerationPace, GenerationTimes};
+pub use generation_pace::{GenerationPace, GenerationSize, GenerationTimes};
 pub use hash::{mix, rendezvous_order, rendezvous_weight, stable_hash};
 pub use health::{BackendHealth, HealthConfig};
 pub use heartbeat::{Heartbeat, HeartbeatConfig, HeartbeatStep};
