Bound the engines that a search for kept prompts asks at once

It asks at most 400, drawn at random. The sites of today and the grown ones have at most 108 engines and are not changed.

--- a/crates/cactusbarrow_gateway/src/prompt_search.rs
+++ b/crates/cactusbarrow_gateway/src/prompt_search.rs
@@ -21,6 +21,9 @@
 /// Shortest time between two searches; lists delay the engines' work.
 const SEARCH_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Engines that are asked at once, each over a connection of its own; hosts allow some 4,000.
+const MAX_ASKED: usize = 400;
+
 /// Largest list of an engine.
 const MAX_LIST_BYTES: usize = 256 << 10;
 
@@ -35,7 +38,11 @@
         return;
     }
     *last = Some(now);
-    let engines = shared.fleet().usable_entries(service, now);
+    let engines = {
+        let fleet = shared.fleet();
+        let rng = &mut *shared.rng();
+        fleet.draw_usable(service, MAX_ASKED, now, rng)
+    };
     let asked = engines.len();
     let mut lists = JoinSet::new();
     for entry in engines {
--- a/crates/cactusbarrow_policy/src/backend_fleet.rs
+++ b/crates/cactusbarrow_policy/src/backend_fleet.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use rand::Rng;
+use rand::seq::IteratorRandom;
 use slotmap::SlotMap;
 
 use crate::backend::{Backend, BackendEntry, BackendKey, Health, Listing, LossCause, Work};
@@ -65,13 +67,19 @@
         named.any(|b| b.tier(now) == Some(0))
     }
 
-    /// Returns the entries of a service that can be used now.
-    pub fn usable_entries(&self, service: &str, now: Instant) -> Vec<BackendEntry> {
+    /// Draws up to `count` of the entries of a service that can be used now.
+    pub fn draw_usable(
+        &self,
+        service: &str,
+        count: usize,
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> Vec<BackendEntry> {
         self.backends
             .values()
             .filter(|b| &*b.entry.service == service && b.tier(now) == Some(0))
             .map(|b| b.entry.clone())
-            .collect()
+            .sample(rng, count)
     }
 
     /// Returns the number of backend servers that are listed as ready.
--- a/crates/cactusbarrow_policy/tests/backend_fleet.rs
+++ b/crates/cactusbarrow_policy/tests/backend_fleet.rs
@@ -393,6 +393,22 @@
     assert!(!fleet.is_usable(stable_hash(b"i-4"), now));
 }
 
+/// Load pattern: many callers return at once, and their gateway asks engines for prompts; it
+/// must not use up its connections in a large fleet.
+#[test]
+fn a_bounded_number_of_usable_engines_is_drawn() {
+    let now = Instant::now();
+    let mut fleet = fleet(60, 3, now);
+    let lost = fleet.key_of("i-7").expect("it is listed");
+    fleet.record_loss(lost, LossCause::Silent, now);
+    for seed in 0..20 {
+        let drawn = fleet.draw_usable(SERVICE, 10, now, &mut rng(seed));
+        assert_eq!(drawn.len(), 10);
+        assert!(drawn.iter().all(|entry| &*entry.instance != "i-7"));
+    }
+    assert_eq!(fleet.draw_usable(SERVICE, 100, now, &mut rng(1)).len(), 59);
+}
+
 /// Load pattern: engines of a zone end and start again as other instances while the store is
 /// away, so the list names the old ones. Each gateway that meets one is told so at once;
 /// without its word all others meet it, too, and use up the retry budget.
