--- a/examples/soak/process.rs
+++ b/examples/soak/process.rs
@@ -105,7 +105,7 @@
         }
     }
 
-    /// Takes note of an end; `Some` describes one that nobody ordered, or that was not clean.
+    /// Takes note of an end; `Some` describes one that nobody ordered.
     pub(crate) fn reap(&mut self) -> Option<String> {
         let status = self.child.as_mut()?.try_wait().ok()??;
         self.child = None;
