--- a/examples/soak/checks.rs
+++ b/examples/soak/checks.rs
@@ -99,7 +99,7 @@
     judge_calm(ledger, id, sent, gateways);
 }
 
-/// While nothing is disturbed, all is served.
+/// While nothing is disrupted, all is served.
 fn judge_calm(ledger: &Ledger, id: &str, sent: &Try, gateways: usize) {
     let mut scopes = vec![Scope::Store, Scope::Backends];
     scopes.extend((0..gateways).flat_map(|i| [Scope::Gateway(i), Scope::Stop(i)]));
--- a/examples/soak/ledger.rs
+++ b/examples/soak/ledger.rs
@@ -4,13 +4,13 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-/// Time after a disturbance in which bounds do not hold yet.
+/// Time after a disruption in which bounds do not hold yet.
 const SETTLE: Duration = Duration::from_secs(3);
 
 /// Violations that are kept with their text.
 const MAX_VIOLATIONS: usize = 40;
 
-/// What a disturbance harms.
+/// What a disruption harms.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Scope {
     /// One gateway, without a plan: it is killed, paused, or cut from the store.
@@ -24,16 +24,16 @@
 }
 
 #[derive(Clone, Copy, Debug)]
-struct Disturbance {
+struct Disruption {
     scope: Scope,
     from: Instant,
     /// `None` while it lasts.
     to: Option<Instant>,
 }
 
-/// Names a disturbance until it ends.
+/// Names a disruption until it ends.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct DisturbanceId(usize);
+pub(crate) struct DisruptionId(usize);
 
 /// How one request of a caller went.
 #[derive(Clone, Copy, Debug)]
@@ -52,7 +52,7 @@
 
 #[derive(Debug, Default)]
 struct State {
-    disturbances: Vec<Disturbance>,
+    disruptions: Vec<Disruption>,
     tries: HashMap<String, Try>,
     counts: HashMap<&'static str, u64>,
     violations: Vec<String>,
@@ -68,26 +68,26 @@
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Notes that a disturbance begins.
-    pub(crate) fn begin(&self, scope: Scope) -> DisturbanceId {
+    /// Notes that a disruption begins.
+    pub(crate) fn begin(&self, scope: Scope) -> DisruptionId {
         let mut state = self.state();
-        state.disturbances.push(Disturbance {
+        state.disruptions.push(Disruption {
             scope,
             from: Instant::now(),
             to: None,
         });
-        DisturbanceId(state.disturbances.len() - 1)
+        DisruptionId(state.disruptions.len() - 1)
     }
 
-    /// Notes that a disturbance has ended.
-    pub(crate) fn end(&self, id: DisturbanceId) {
-        self.state().disturbances[id.0].to = Some(Instant::now());
+    /// Notes that a disruption has ended.
+    pub(crate) fn end(&self, id: DisruptionId) {
+        self.state().disruptions[id.0].to = Some(Instant::now());
     }
 
-    /// Returns whether nothing of `scopes` was disturbed in a span or shortly before it.
+    /// Returns whether nothing of `scopes` was disrupted in a span or shortly before it.
     pub(crate) fn is_calm(&self, scopes: &[Scope], from: Instant, to: Instant) -> bool {
         let state = self.state();
-        !state.disturbances.iter().any(|d| {
+        !state.disruptions.iter().any(|d| {
             let until = d.to.map(|end| end + SETTLE);
             scopes.contains(&d.scope) && d.from <= to && until.is_none_or(|until| until >= from)
         })
