--- a/crates/cactusbarrow_gateway/src/generation/stream.rs
+++ b/crates/cactusbarrow_gateway/src/generation/stream.rs
@@ -430,6 +430,7 @@
             copy = target.holder.as_ref().map_or("none", |h| &*h.entry.instance),
             from_copy = target.resume_from.is_some(),
             kept = target.is_cached,
+            shared_parts = self.req.caller.shared_parts.join(","),
             last_event = self.last_event(),
             attempt = self.attempt_count,
             elapsed_ms = self.elapsed_ms();
