--- a/crates/cactusbarrow_net/src/body.rs
+++ b/crates/cactusbarrow_net/src/body.rs
@@ -41,6 +41,11 @@
         let _ = self.0.send(Err(BodyError::Aborted)).await;
     }
 
+    /// Returns whether the receiver was dropped.
+    pub fn is_closed(&self) -> bool {
+        self.0.is_closed()
+    }
+
     /// Completes when the receiver was dropped.
     pub async fn closed(&self) {
         self.0.closed().await;
