Quarantine prompt parts that end engines

Callers saw streams interrupted, and 502 in the end: requests that share one prompt part ended each engine that began to respond to them, at every gateway. The cause is that nothing related the end of an engine to the prompts that it was about to answer, so each request used up the attempts of its route, and the next one did the same. The class of fault: a retry of work that is itself the cause of the failure.

Gateways now record attempts that end with their engine before the response has clearly begun, and share them in heartbeats. A part is quarantined when chance no longer explains how often that happened (odds of 10,000 to 1), compared with all other prompts since then; a response that begins clears all parts of its prompt. Verdicts go to the peers and, with the evidence, to a page of each gateway in the store, under a lease of ten minutes. Prompts with a quarantined part are refused as not run, with the rest of the quarantine (five minutes) as Retry-After; attempts that have not begun are cancelled.

Why it works: the part that ends engines is the only one that never sees a response begin. Engines that end for other reasons take many different prompts along, which raises the estimated probability of a loss and with it the number of events that are needed; their retries clear them. The last part that explains the losses is chosen, and they no longer count against the parts before it, so callers that share only the first part are served.

--- a/crates/cactusbarrow_gateway/src/generation.rs
+++ b/crates/cactusbarrow_gateway/src/generation.rs
@@ -20,6 +20,10 @@
 pub(crate) async fn serve<C: Clock>(req: AdmittedRequest<C>, can_resume: bool) -> Response<Body> {
     req.shared.record_request(&req.service);
     let mut stream = GenerationStream::new(req, can_resume);
+    if let Some(time_left) = stream.quarantine_time_left() {
+        let refusal = Refusal::not_run(Reason::QuarantinedPrompt, time_left);
+        return refuse(&mut stream, &refusal);
+    }
     if !stream.find_origin().await {
         let refusal = Refusal::not_run(Reason::UnknownOrigin, stream.retry_after());
         return refuse(&mut stream, &refusal);
@@ -53,7 +57,10 @@
         }
         GenerationItem::Refused { outcome, reason } => {
             let refusal = match outcome {
-                Outcome::NotRun => Refusal::not_run(reason, stream.retry_after()),
+                Outcome::NotRun => {
+                    let wait = stream.quarantine_time_left();
+                    Refusal::not_run(reason, wait.unwrap_or_else(|| stream.retry_after()))
+                }
                 Outcome::Unknown | Outcome::Failed => Refusal::unknown(reason),
             };
             refuse(&mut stream, &refusal)
--- a/crates/cactusbarrow_gateway/src/generation/stream.rs
+++ b/crates/cactusbarrow_gateway/src/generation/stream.rs
@@ -9,16 +9,16 @@
 use cactusbarrow_adapter::EngineResponse;
 use cactusbarrow_net::{Clock, RawEvent};
 use cactusbarrow_policy::{
-    AttemptStart, BackendKey, GenerationSize, GenerationTimes, Outcome, Reason, ResumeAction,
-    ResumeEvent, ResumePlan, SoftwareId,
+    AttemptStart, BackendEntry, BackendKey, GenerationSize, GenerationTimes, Outcome, PromptParts,
+    Reason, ResumeAction, ResumeEvent, ResumePlan, SoftwareId,
 };
 use http::HeaderMap;
 
 use super::attempt::{Attempt, AttemptItem, AttemptTarget, OpenResult, RunningAttempt};
 use super::copy_manager::Holder;
-use crate::prompt_search;
 use crate::request::AdmittedRequest;
 use crate::stream_origins;
+use crate::{prompt_quarantine, prompt_search};
 
 /// Time-out of the first event from a live engine, as a multiple of the latency objective.
 const FIRST_EVENT_TIMEOUT_OBJECTIVES: u32 = 2;
@@ -33,6 +33,16 @@
 /// declines within it, and two engines must not work on a generation for longer.
 const FALLBACK_TIME: Duration = Duration::from_millis(300);
 
+/// Time after its first event in which the end of an attempt's engine is still related to the start of
+/// the response.
+const STARTING_TIME: Duration = Duration::from_millis(500);
+
+/// The start of an attempt.
+struct StartingAttempt {
+    engine: BackendEntry,
+    first_event_at: Option<Instant>,
+}
+
 /// The next item that a generation delivers to its caller.
 pub(crate) enum GenerationItem {
     /// The next event.
@@ -55,6 +65,9 @@
     req: AdmittedRequest<C>,
     plan: ResumePlan,
     next_start: AttemptStart,
+    parts: PromptParts,
+    /// Start of the current attempt, until its response has clearly begun.
+    starting: Option<StartingAttempt>,
     running: Option<Box<RunningAttempt<C>>>,
     /// Attempt at a suspected engine, which goes on if its successor is declined.
     fallback: Option<Box<RunningAttempt<C>>>,
@@ -95,6 +108,8 @@
         Self {
             plan: ResumePlan::new(can_resume, req.max_runs),
             next_start: AttemptStart::ReadPrompt,
+            parts: req.prompt_parts(),
+            starting: None,
             running: None,
             fallback: None,
             holder: None,
@@ -164,6 +179,11 @@
         }
     }
 
+    /// Returns for how long prompts like this one are refused; `None` if they are not.
+    pub(crate) fn quarantine_time_left(&self) -> Option<Duration> {
+        prompt_quarantine::time_left(&self.req.shared, &self.parts)
+    }
+
     /// Finds the software version that began a stream which the caller resumes; returns false if it
     /// is not known.
     pub(crate) async fn find_origin(&mut self) -> bool {
@@ -257,9 +277,13 @@
             };
             let RunningAttempt { attempt, copies } = &mut **running;
             let has_read_prompt = attempt.has_read_prompt();
+            let refused = prompt_quarantine::wait_until_refused(&self.req.shared, &self.parts);
             let received = tokio::select! {
                 biased;
                 received = attempt.next(until) => received,
+                () = refused, if !has_read_prompt && self.last_event_at.is_none() => {
+                    return self.refusal(Reason::QuarantinedPrompt);
+                }
                 event = copies.next_event(), if has_read_prompt => {
                     copies.handle(event, &self.req.caller.request_id, self.plan.excluded());
                     continue;
@@ -295,6 +319,8 @@
             },
             AttemptItem::End => {
                 self.store_head();
+                self.starting = None;
+                prompt_quarantine::record_begun(&self.req.shared, &self.parts);
                 if let Some(running) = &self.running {
                     running.copies.release();
                 }
@@ -320,6 +346,7 @@
             return false;
         };
         running.attempt.keep(ResumeEvent::Stalled);
+        self.starting = None;
         self.last_progress_at = self.req.shared.now();
         self.running = Some(running);
         true
@@ -376,6 +403,7 @@
         self.plan.record_progress();
         let now = self.req.shared.now();
         self.last_progress_at = now;
+        self.record_start(now);
         if let Some(at) = self.last_event_at.replace(now) {
             self.longest_pause = self.longest_pause.max(now.saturating_duration_since(at));
         } else {
@@ -386,6 +414,18 @@
         Ok(event.bytes)
     }
 
+    /// Records an event of an attempt that has just started.
+    fn record_start(&mut self, now: Instant) {
+        let Some(starting) = &mut self.starting else {
+            return;
+        };
+        let first_event_at = *starting.first_event_at.get_or_insert(now);
+        if now.saturating_duration_since(first_event_at) >= STARTING_TIME {
+            self.starting = None;
+            prompt_quarantine::record_begun(&self.req.shared, &self.parts);
+        }
+    }
+
     /// Records which software version brought the first event.
     fn record_origin(&mut self) {
         let Some(running) = &self.running else {
@@ -413,6 +453,11 @@
 
     /// Starts the next attempt; returns the caller's last item if there is none.
     async fn start_attempt(&mut self) -> Option<GenerationItem> {
+        // The parts of a prompt to which a response has begun are not at fault.
+        let may_be_deadly = self.last_event_at.is_none();
+        if may_be_deadly && self.quarantine_time_left().is_some() {
+            return Some(self.refusal(Reason::QuarantinedPrompt));
+        }
         let mut target = self.choose_target();
         if target.is_none() && self.fallback.is_none() && self.plan.readmit_suspected() {
             target = self.choose_target();
@@ -443,7 +488,18 @@
             .time_left()
             .min(self.req.objective * FIRST_EVENT_TIMEOUT_OBJECTIVES);
         let fallback = self.fallback.take();
-        let (opened, fallback) = self.open_beside(fallback, target, timeout).await;
+        self.starting = Some(StartingAttempt {
+            engine: target.entry.clone(),
+            first_event_at: None,
+        });
+        let refused = prompt_quarantine::wait_until_refused(&self.req.shared, &self.parts);
+        let (opened, fallback) = tokio::select! {
+            biased;
+            opened = self.open_beside(fallback, target, timeout) => opened,
+            () = refused, if may_be_deadly => {
+                return Some(self.refusal(Reason::QuarantinedPrompt));
+            }
+        };
         self.fallback = fallback;
         let event = match opened {
             OpenResult::Streaming(running) => {
@@ -498,6 +554,13 @@
     fn handle_attempt_end(&mut self, event: ResumeEvent) -> Option<GenerationItem> {
         // A request that never arrived is not repeated, so it takes nothing from the retry budget.
         let has_arrived = event != ResumeEvent::NotConnected;
+        if let Some(starting) = self.starting.take()
+            && event.may_be_engine_loss()
+        {
+            let request_id = &self.req.caller.request_id;
+            let shared = &self.req.shared;
+            prompt_quarantine::record_loss(shared, request_id, &starting.engine, &self.parts);
+        }
         // A suspected engine is left only with a retry that was taken from the budget.
         let needs_no_budget = !has_arrived || event.is_suspicion();
         let has_budget = needs_no_budget || self.req.shared.try_retry(&self.req.service);
--- a/crates/cactusbarrow_gateway/src/lib.rs
+++ b/crates/cactusbarrow_gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod health_check;
 mod listener;
 mod peers;
+mod prompt_quarantine;
 mod prompt_search;
 mod refusal;
 mod request;
--- a/crates/cactusbarrow_gateway/src/peers.rs
+++ b/crates/cactusbarrow_gateway/src/peers.rs
@@ -22,15 +22,19 @@
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
+use crate::prompt_quarantine;
 use crate::shared::Shared;
 use crate::store_sync::{self, PeerData};
 
 /// Size of the largest heartbeat in bytes, which fits into one packet.
 const MAX_HEARTBEAT_BYTES: usize = 1_400;
 
-/// Largest number of engine loads in a heartbeat, each up to 23 bytes.
+/// Largest number of engine loads in a heartbeat; there are fewer if the rest leaves no room.
 const MAX_HEARTBEAT_LOADS: usize = 38;
 
+/// Size of the largest engine load in bytes.
+const MAX_LOAD_BYTES: usize = 25;
+
 /// Largest number of prompts in a heartbeat, each 20 bytes.
 const MAX_HEARTBEAT_PROMPTS: usize = 12;
 
@@ -117,14 +121,12 @@
     let now = shared.now();
     let store_status = shared.store_status(now);
     let position = shared.servers_position();
-    let mut loads = shared.fleet().own_loads(now);
-    loads.truncate(MAX_HEARTBEAT_LOADS);
     let peers = shared
         .peers()
         .live_peers(now)
         .take(MAX_HEARTBEAT_PEERS)
         .collect::<Vec<_>>();
-    let heartbeat = GatewayHeartbeat {
+    let mut heartbeat = GatewayHeartbeat {
         name: shared.settings.name.clone(),
         incarnation,
         sequence,
@@ -132,7 +134,6 @@
         config_bytes: shared.config_bytes().try_into().unwrap_or(u32::MAX),
         store_era: position.era.0,
         servers_revision: position.revision,
-        loads: loads.iter().map(load_to_wire).collect(),
         peers: peers.iter().map(|ip| ip.to_bits()).collect(),
         retries: shared.retry_counts(now).map(retries_to_wire).collect(),
         is_store_ok: store_status.is_store_ok,
@@ -147,7 +148,13 @@
             .take(MAX_HEARTBEAT_PROMPTS)
             .map(prompt_to_wire)
             .collect(),
+        ..GatewayHeartbeat::default()
     };
+    prompt_quarantine::add_to_heartbeat(shared, &mut heartbeat);
+    let room = MAX_HEARTBEAT_BYTES.saturating_sub(heartbeat.encoded_len());
+    let loads = shared.fleet().own_loads(now);
+    let max_loads = (room / MAX_LOAD_BYTES).min(MAX_HEARTBEAT_LOADS);
+    heartbeat.loads = loads.iter().take(max_loads).map(load_to_wire).collect();
     heartbeat.encode_to_vec()
 }
 
@@ -198,13 +205,13 @@
             continue;
         };
         match GatewayHeartbeat::decode(&buf[..len]) {
-            Ok(heartbeat) => record_heartbeat(&shared, ip, heartbeat),
+            Ok(heartbeat) => record_heartbeat(&shared, ip, &heartbeat),
             Err(e) => log::warn!(peer:% = from; "heartbeat cannot be decoded: {e}"),
         }
     }
 }
 
-fn record_heartbeat<C: Clock>(shared: &Shared<C>, from: Ipv4Addr, wire: GatewayHeartbeat) {
+fn record_heartbeat<C: Clock>(shared: &Shared<C>, from: Ipv4Addr, wire: &GatewayHeartbeat) {
     let now = shared.now();
     let heartbeat = PeerHeartbeat {
         incarnation: wire.incarnation,
@@ -213,7 +220,12 @@
         config_bytes: wire.config_bytes.into(),
         servers_position: position_from_wire(wire.store_era, wire.servers_revision),
         loads: wire.loads.iter().map(load_from_wire).collect(),
-        peers: wire.peers.into_iter().map(Ipv4Addr::from_bits).collect(),
+        peers: wire
+            .peers
+            .iter()
+            .copied()
+            .map(Ipv4Addr::from_bits)
+            .collect(),
         retries: wire.retries.iter().map(retries_from_wire).collect(),
         is_store_ok: wire.is_store_ok,
         data_age: Duration::from_millis(wire.age_ms.into()),
@@ -226,6 +238,7 @@
         peers.loads(now)
     };
     record_prompts(shared, &wire.prompts);
+    prompt_quarantine::apply_heartbeat(shared, wire);
     shared.fleet().record_remote_loads(&loads);
     shared.cancel_unreliable_tokens();
 }
--- a/crates/cactusbarrow_gateway/src/request.rs
+++ b/crates/cactusbarrow_gateway/src/request.rs
@@ -7,8 +7,8 @@
 use cactusbarrow_adapter::CallerRequest;
 use cactusbarrow_net::{Body, Clock, collect_limited};
 use cactusbarrow_policy::{
-    CustomerSpec, OperatorConfig, PromptId, Reason, RequestKind, ResolveError, Route, ServiceName,
-    ServiceSpec, retry_after,
+    CustomerSpec, OperatorConfig, PromptId, PromptParts, Reason, RequestKind, ResolveError, Route,
+    ServiceName, ServiceSpec, retry_after,
 };
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -57,6 +57,16 @@
         part.map(PromptId::from_last_part)
     }
 
+    /// Returns the parts of the prompt that may be at fault when its engine ends.
+    pub(crate) fn prompt_parts(&self) -> PromptParts {
+        let caller = &self.caller;
+        PromptParts::new(
+            &self.service,
+            &caller.shared_parts,
+            caller.unique_part.as_deref(),
+        )
+    }
+
     /// Returns the time until the deadline.
     pub(crate) fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(self.shared.now())
--- a/crates/cactusbarrow_gateway/src/shared.rs
+++ b/crates/cactusbarrow_gateway/src/shared.rs
@@ -10,10 +10,10 @@
 use cactusbarrow_net::Clock;
 use cactusbarrow_policy::{
     BackendFleet, BackendKey, FleetConfig, GenerationPace, LossCause, OperatorConfig,
-    OperatorConfigCell, OriginConfig, OriginPages, PeerConfig, PeerTable, PromptLocationConfig,
-    PromptLocations, RetryCount, RetryLimits, RetryWindow, Revision, ServiceId, ServiceName,
-    Shutdown, ShutdownConfig, StoreEra, StorePosition, StoreStatus, StoreWatchConfig,
-    StreamOrigins, is_watcher, stable_hash, start_wait,
+    OperatorConfigCell, OriginConfig, OriginPages, PartQuarantine, PeerConfig, PeerTable,
+    PromptLocationConfig, PromptLocations, QuarantineConfig, RetryCount, RetryLimits, RetryWindow,
+    Revision, ServiceId, ServiceName, Shutdown, ShutdownConfig, StoreEra, StorePosition,
+    StoreStatus, StoreWatchConfig, StreamOrigins, is_watcher, stable_hash, start_wait,
 };
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -119,6 +119,29 @@
     a.key == b.key && a.position.revision == b.position.revision && a.value == b.value
 }
 
+/// Wakes the tasks that depend on the quarantine of prompt parts.
+#[derive(Debug, Default)]
+pub(crate) struct QuarantineSignal {
+    /// Wakes the writer of the page in the store.
+    pub(crate) page: Notify,
+    /// Number of times that parts were quarantined.
+    pub(crate) verdicts: watch::Sender<u64>,
+    /// Whether the page has to be written although it did not change.
+    needs_rewrite: AtomicBool,
+}
+
+impl QuarantineSignal {
+    /// Has the page written again, after the store lost it or may not have received it.
+    pub(crate) fn request_rewrite(&self) {
+        self.needs_rewrite.store(true, Ordering::Relaxed);
+        self.page.notify_one();
+    }
+
+    pub(crate) fn take_rewrite(&self) -> bool {
+        self.needs_rewrite.swap(false, Ordering::Relaxed)
+    }
+}
+
 /// State of one gateway that all its tasks share.
 pub(crate) struct Shared<C> {
     pub(crate) settings: GatewaySettings,
@@ -147,6 +170,8 @@
     /// Wakes the writer of origins.
     origin_change: Notify,
     last_origin_read: LastRead,
+    quarantine: Mutex<PartQuarantine>,
+    quarantine_signal: QuarantineSignal,
     /// Set once the list of backend servers has been read.
     has_backend_list: AtomicBool,
 }
@@ -199,6 +224,8 @@
             origin_change: Notify::new(),
             last_origin_read: LastRead::default(),
             prompts: Mutex::new(PromptLocations::new(PromptLocationConfig::default())),
+            quarantine: Mutex::new(PartQuarantine::new(QuarantineConfig::default())),
+            quarantine_signal: QuarantineSignal::default(),
             has_backend_list: AtomicBool::new(false),
         })
     }
@@ -302,6 +329,14 @@
         &self.last_origin_read
     }
 
+    pub(crate) fn quarantine(&self) -> MutexGuard<'_, PartQuarantine> {
+        lock(&self.quarantine)
+    }
+
+    pub(crate) fn quarantine_signal(&self) -> &QuarantineSignal {
+        &self.quarantine_signal
+    }
+
     /// Returns the time since this gateway started.
     pub(crate) fn uptime(&self) -> Duration {
         self.elapsed_since(self.started)
--- a/crates/cactusbarrow_gateway/src/start.rs
+++ b/crates/cactusbarrow_gateway/src/start.rs
@@ -13,7 +13,9 @@
 
 use crate::listener::{self, ListenerStop};
 use crate::shared::Shared;
-use crate::{backend_probes, health_check, peers, request, store_sync, stream_origins};
+use crate::{
+    backend_probes, health_check, peers, prompt_quarantine, request, store_sync, stream_origins,
+};
 
 /// State of a gateway for operators.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -62,6 +64,11 @@
         store.clone(),
         background_stop.clone(),
     ));
+    tokio::spawn(prompt_quarantine::run(
+        shared.clone(),
+        store.clone(),
+        background_stop.clone(),
+    ));
     tokio::spawn(backend_probes::run(shared.clone(), background_stop.clone()));
     let cx = shared.clone();
     let handle_health = move |req| {
--- a/crates/cactusbarrow_gateway/src/store_sync.rs
+++ b/crates/cactusbarrow_gateway/src/store_sync.rs
@@ -13,7 +13,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::shared::Shared;
-use crate::stream_origins::{self, PAGES_PREFIX};
+use crate::{prompt_quarantine, stream_origins};
 
 /// Prefix of the watched keys. It matches all keys, so that one call covers the configuration
 /// and the list of backend servers.
@@ -289,6 +289,7 @@
     shared.store_health().record_restore(shared.now());
     shared.origin_pages().rewrite();
     shared.origin_change().notify_one();
+    shared.quarantine_signal().request_rewrite();
 }
 
 /// Returns whether an entry from the store is older than what this gateway knows of its owner.
@@ -324,8 +325,8 @@
 /// Returns whether the change is part of what gateways pass on to their peers.
 fn apply_change<C: Clock>(shared: &Shared<C>, change: Change, known: StorePosition) -> bool {
     match change {
-        Change::Put(item) if stream_origins::apply_page(shared, &item) => return false,
-        Change::Deleted { key, .. } if key.starts_with(PAGES_PREFIX) => return false,
+        Change::Put(item) if apply_page(shared, &item) => return false,
+        Change::Deleted { key, .. } if is_page(&key) => return false,
         Change::Put(item) if item.key == CONFIG_KEY || item.position > known => {
             apply_key_value(shared, item, &"store");
         }
@@ -342,6 +343,19 @@
     true
 }
 
+/// Applies a page that gateways keep in the store; returns whether the item is one.
+fn apply_page<C: Clock>(shared: &Shared<C>, item: &KeyValue) -> bool {
+    stream_origins::apply_page(shared, item) || prompt_quarantine::apply_page(shared, item)
+}
+
+fn is_page(key: &str) -> bool {
+    let prefixes = [
+        stream_origins::PAGES_PREFIX,
+        prompt_quarantine::PAGES_PREFIX,
+    ];
+    prefixes.iter().any(|prefix| key.starts_with(prefix))
+}
+
 fn apply_key_value<C: Clock>(shared: &Shared<C>, item: KeyValue, source: &impl std::fmt::Display) {
     if item.key == CONFIG_KEY {
         adopt_configuration(shared, item, source);
@@ -349,7 +363,7 @@
         apply_backend_entry(shared, instance, &item);
         shared.store_cache().put_server(item);
     } else {
-        stream_origins::apply_page(shared, &item);
+        apply_page(shared, &item);
     }
 }
 
--- a/crates/cactusbarrow_gateway/src/stream_origins.rs
+++ b/crates/cactusbarrow_gateway/src/stream_origins.rs
@@ -200,7 +200,7 @@
         };
         metrics::counter!("gateway_store_calls_total").increment(1);
         match store
-            .put(&format!("{prefix}{slot}"), &encode_page(&origins))
+            .put(&format!("{prefix}{slot}"), &encode_page(&origins), None)
             .await
         {
             Ok(()) => failures = 0,
@@ -237,7 +237,7 @@
     tokio::time::sleep(wait).await;
 }
 
-fn write_interval<C: Clock>(shared: &Shared<C>) -> Duration {
+pub(crate) fn write_interval<C: Clock>(shared: &Shared<C>) -> Duration {
     let gateways = shared.peers().live_peers(shared.now()).count() + 1;
     origin_write_interval(gateways, shared.settings.store_writes_per_s)
 }
--- a/crates/cactusbarrow_policy/src/lib.rs
+++ b/crates/cactusbarrow_policy/src/lib.rs
@@ -29,6 +29,7 @@
 mod operator_config;
 mod orders;
 mod outcome;
+mod part_quarantine;
 mod peer_table;
 mod placement;
 mod prompt_locations;
@@ -79,6 +80,10 @@
 };
 pub use orders::{EngineOrders, LoadOrder, OrderConfig};
 pub use outcome::{Outcome, Reason};
+pub use part_quarantine::{
+    IncarnationId, LostAttempt, PartId, PartQuarantine, PromptParts, QuarantineConfig,
+    QuarantineVerdict,
+};
 pub use peer_table::{PeerConfig, PeerHeartbeat, PeerLoad, PeerTable};
 pub use placement::PlacementRequest;
 pub use prompt_locations::{PromptId, PromptLocation, PromptLocationConfig, PromptLocations};
--- a/crates/cactusbarrow_policy/src/outcome.rs
+++ b/crates/cactusbarrow_policy/src/outcome.rs
@@ -90,6 +90,8 @@
     SoftwareGone = "software_gone",
     /// The software version that began the stream is not known.
     UnknownOrigin = "unknown_origin",
+    /// A part of the prompt has ended several engines.
+    QuarantinedPrompt = "quarantined_prompt",
     /// The customer has too many requests in flight.
     CustomerInFlight = "customer_in_flight",
     /// The customer has exceeded its rate of generated tokens.
--- a/crates/cactusbarrow_policy/src/resume_plan.rs
+++ b/crates/cactusbarrow_policy/src/resume_plan.rs
@@ -51,6 +51,11 @@
         matches!(self, Self::Silent | Self::Stalled)
     }
 
+    /// Returns whether the engine may have ended while it ran the attempt.
+    pub fn may_be_engine_loss(self) -> bool {
+        matches!(self, Self::Broken | Self::Silent | Self::Gone)
+    }
+
     fn is_declined(self) -> bool {
         matches!(self, Self::NotConnected | Self::NotExecuted)
     }
