Add a test of streams that end before their first event, which fails

A response without a length ends with its connection, also when its engine ends before the first event. The gateway then delivers status 200 without events.

--- a/crates/cactusbarrow_gateway/tests/generations.rs
+++ b/crates/cactusbarrow_gateway/tests/generations.rs
@@ -66,6 +66,20 @@
     assert_eq!(run.body, b"the body");
 }
 
+/// Guards against engines that end before the first event of a response whose end is that of its
+/// connection.
+#[tokio::test]
+async fn stream_without_events_is_not_complete() {
+    let cluster = TestCluster::start(2).await;
+    cluster.engines[0].set_fault(Some(Fault::EmptyStream));
+    let gateway = cluster.one_gateway().await;
+    for i in 0..6 {
+        let id = format!("empty-{i}");
+        let response = gateway.call(&caller_head(&id, "/stream/1"), "POST").await;
+        assert_eq!(response.event_ids(), all_event_ids());
+    }
+}
+
 /// Guards against callers that forge the headers that gateways send to engines.
 #[tokio::test]
 async fn internal_headers_of_callers_are_dropped() {
