Take a generation without any event for broken off

Callers could get status 200 without a single event: a response that has neither a length nor chunks ends with its connection, and an engine that ends before its first event ends it in the same way. The gateway took that for the end of the generation.

A stream that has brought no event at all is now treated as broken off, so the generation goes on at another engine. That is right because each generation has events; only a caller that resumes after the last one gets none. A stream that ends between two events of such a response still cannot be told from a complete one: nothing in it states how many there are.

--- a/crates/cactusbarrow_gateway/src/generation/stream.rs
+++ b/crates/cactusbarrow_gateway/src/generation/stream.rs
@@ -317,6 +317,10 @@
                 Ok(bytes) => return Some(GenerationItem::Event(bytes)),
                 Err(event) => event,
             },
+            // A generation has at least one event; only a caller that has them all gets no more.
+            AttemptItem::End if self.last_event.is_none() && self.last_event_at.is_none() => {
+                ResumeEvent::Broken
+            }
             AttemptItem::End => {
                 self.store_head();
                 self.starting = None;
