Compare lost attempts with the responses of all gateways to the same service

Callers of a service whose engines all fail could be refused for five minutes, because the responses of another service counted as the comparison: the new test shows a shared part quarantined after three events.

Responses that began are now counted by service, and gateways report their totals in heartbeats. This works because only responses of the same service show that its engines serve other prompts, and all gateways together see them soonest.

--- a/crates/cactusbarrow_gateway/src/peers.rs
+++ b/crates/cactusbarrow_gateway/src/peers.rs
@@ -9,7 +9,8 @@
 use cactusbarrow_adapter::{KeyValue, StoreClient};
 use cactusbarrow_net::{Body, Clock, HttpClient, HttpVersion, NetError, collect_limited};
 use cactusbarrow_policy::{
-    PeerHeartbeat, PeerLoad, PromptId, PromptLocation, RetryCount, StoreEra, StorePosition,
+    PeerHeartbeat, PeerLoad, PromptId, PromptLocation, RetryCount, ServiceId, StoreEra,
+    StorePosition,
 };
 use cactusbarrow_protocol::generated::{
     EngineLoad, GatewayHeartbeat, GatewayKnowledge, KnowledgeRequest, PromptPlace, RetryUse,
@@ -135,7 +136,13 @@
         store_era: position.era.0,
         servers_revision: position.revision,
         peers: peers.iter().map(|ip| ip.to_bits()).collect(),
-        retries: shared.retry_counts(now).map(retries_to_wire).collect(),
+        retries: shared
+            .retry_counts(now)
+            .map(|(service, count)| {
+                let begun = shared.quarantine().own_begun(ServiceId(service));
+                retries_to_wire(service, count, begun)
+            })
+            .collect(),
         is_store_ok: store_status.is_store_ok,
         age_ms: store_status
             .data_age
@@ -175,11 +182,12 @@
     }
 }
 
-fn retries_to_wire((service, count): (u64, RetryCount)) -> RetryUse {
+fn retries_to_wire(service: u64, count: RetryCount, begun: u64) -> RetryUse {
     RetryUse {
         service,
         requests: count.requests.try_into().unwrap_or(u32::MAX),
         retries: count.retries.try_into().unwrap_or(u32::MAX),
+        begun,
     }
 }
 
@@ -191,6 +199,10 @@
     (wire.service, count)
 }
 
+fn begun_from_wire(wire: &RetryUse) -> (ServiceId, u64) {
+    (ServiceId(wire.service), wire.begun)
+}
+
 async fn receive_heartbeats<C: Clock>(shared: Arc<Shared<C>>, socket: Arc<UdpSocket>) {
     let mut buf = [0; MAX_HEARTBEAT_BYTES];
     loop {
@@ -227,16 +239,21 @@
             .map(Ipv4Addr::from_bits)
             .collect(),
         retries: wire.retries.iter().map(retries_from_wire).collect(),
+        begun: wire.retries.iter().map(begun_from_wire).collect(),
         is_store_ok: wire.is_store_ok,
         data_age: Duration::from_millis(wire.age_ms.into()),
     };
-    let loads = {
+    let (loads, begun) = {
         let mut peers = shared.peers();
+        let begun = peers.begun_since_last(from, &heartbeat);
         if !peers.record(from, heartbeat, now) {
             return;
         }
-        peers.loads(now)
+        (peers.loads(now), begun)
     };
+    for (service, count) in begun {
+        shared.quarantine().count_begun(service, count, now);
+    }
     record_prompts(shared, &wire.prompts);
     prompt_quarantine::apply_heartbeat(shared, wire);
     shared.fleet().record_remote_loads(&loads);
--- a/crates/cactusbarrow_gateway/src/prompt_quarantine.rs
+++ b/crates/cactusbarrow_gateway/src/prompt_quarantine.rs
@@ -10,7 +10,7 @@
 use cactusbarrow_net::Clock;
 use cactusbarrow_policy::{
     BackendEntry, Backoff, IncarnationId, LostAttempt, PartId, PromptParts, QuarantineConfig,
-    QuarantineVerdict,
+    QuarantineVerdict, ServiceId,
 };
 use cactusbarrow_protocol::generated::{
     GatewayHeartbeat, LostGeneration, PartRecord, QuarantinePage,
@@ -27,7 +27,7 @@
 /// Time for which heartbeats repeat a lost attempt or a cleared part, in case some are not received.
 const REPEAT_TIME: Duration = Duration::from_secs(5);
 
-/// Largest numbers of entries in a heartbeat: lost attempts of up to 60 bytes, parts of 14 bytes.
+/// Largest numbers of entries in a heartbeat: lost attempts of up to 70 bytes, parts of 14 bytes.
 const MAX_HEARTBEAT_LOSSES: usize = 4;
 const MAX_HEARTBEAT_QUARANTINED: usize = 8;
 const MAX_HEARTBEAT_CLEARED: usize = 6;
@@ -374,6 +374,7 @@
         shared_parts: loss.parts.shared.iter().map(|part| part.0).collect(),
         unique_part: loss.parts.unique.map_or(0, |part| part.0),
         age_ms: age_ms(loss.lost_at, now),
+        service: loss.parts.service.0,
     }
 }
 
@@ -381,6 +382,7 @@
     LostAttempt {
         engine: IncarnationId(wire.engine),
         parts: PromptParts {
+            service: ServiceId(wire.service),
             shared: wire.shared_parts.iter().map(|part| PartId(*part)).collect(),
             unique: (wire.unique_part != 0).then_some(PartId(wire.unique_part)),
         },
--- a/crates/cactusbarrow_policy/src/part_quarantine.rs
+++ b/crates/cactusbarrow_policy/src/part_quarantine.rs
@@ -31,8 +31,10 @@
 }
 
 /// Parts of a prompt that may be at fault when its engine ends.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PromptParts {
+    /// Service that gets the prompt.
+    pub service: ServiceId,
     /// Parts that other prompts may share, in order.
     pub shared: Vec<PartId>,
     /// Last part, which only attempts at the same prompt share.
@@ -45,10 +47,11 @@
 
     /// Creates the parts of a prompt for a service from their ids.
     pub fn new(service: &ServiceName, shared: &[String], unique: Option<&str>) -> Self {
-        let service = ServiceId::from_name(service).0;
-        let id_of = |part: &str| PartId(mix(stable_hash(part.as_bytes()) ^ service));
+        let service = ServiceId::from_name(service);
+        let id_of = |part: &str| PartId(mix(stable_hash(part.as_bytes()) ^ service.0));
         let skipped = shared.len().saturating_sub(Self::MAX_SHARED);
         Self {
+            service,
             shared: shared[skipped..].iter().map(|part| id_of(part)).collect(),
             unique: unique.map(id_of),
         }
@@ -143,8 +146,10 @@
     cleared: HashMap<PartId, Instant>,
     /// Quarantined parts and since when.
     quarantined: HashMap<PartId, Instant>,
-    /// Numbers of responses that began at this gateway.
-    begun: VecDeque<(Instant, u64)>,
+    /// Numbers of responses that began, here and at peers, with the start of their interval.
+    begun: HashMap<ServiceId, VecDeque<(Instant, u64)>>,
+    /// Number of responses that began here since the start.
+    own_begun: HashMap<ServiceId, u64>,
 }
 
 impl PartQuarantine {
@@ -159,7 +164,8 @@
             explained: HashMap::new(),
             cleared: HashMap::new(),
             quarantined: HashMap::new(),
-            begun: VecDeque::new(),
+            begun: HashMap::new(),
+            own_begun: HashMap::new(),
         }
     }
 
@@ -172,19 +178,8 @@
 
     /// Records that a response began whose prompt has these parts; returns whether that cleared any.
     pub fn record_begun(&mut self, parts: &PromptParts, now: Instant) -> bool {
-        match self.begun.back_mut() {
-            Some((start, count))
-                if now.saturating_duration_since(*start) < Self::COUNT_INTERVAL =>
-            {
-                *count += 1;
-            }
-            _ => self.begun.push_back((now, 1)),
-        }
-        while let Some((start, _)) = self.begun.front()
-            && now.saturating_duration_since(*start) >= self.cfg.memory
-        {
-            self.begun.pop_front();
-        }
+        *self.own_begun.entry(parts.service).or_default() += 1;
+        self.count_begun(parts.service, 1, now);
         let is_suspect = |part: &PartId| {
             let is_lost = self
                 .losses
@@ -199,6 +194,27 @@
         !suspects.is_empty()
     }
 
+    /// Adds responses of a service that began, here or since a peer's last report.
+    pub fn count_begun(&mut self, service: ServiceId, count: u64, now: Instant) {
+        let intervals = self.begun.entry(service).or_default();
+        match intervals.back_mut() {
+            Some((start, sum)) if now.saturating_duration_since(*start) < Self::COUNT_INTERVAL => {
+                *sum += count;
+            }
+            _ => intervals.push_back((now, count)),
+        }
+        while let Some((start, _)) = intervals.front()
+            && now.saturating_duration_since(*start) >= self.cfg.memory
+        {
+            intervals.pop_front();
+        }
+    }
+
+    /// Returns the number of responses of a service that have begun at this gateway since its start.
+    pub fn own_begun(&self, service: ServiceId) -> u64 {
+        self.own_begun.get(&service).copied().unwrap_or(0)
+    }
+
     /// Clears a part with which a response began at `begun_at`, here or at a peer.
     pub fn clear(&mut self, part: PartId, begun_at: Instant) {
         for (loss, _) in &mut self.losses {
@@ -289,7 +305,8 @@
             if self.quarantined.contains_key(&part) {
                 continue;
             }
-            let Some(verdict) = self.verdict(part, parts.unique == Some(part)) else {
+            let is_unique = parts.unique == Some(part);
+            let Some(verdict) = self.verdict(part, parts.service, is_unique) else {
                 continue;
             };
             insert_bounded(&mut self.quarantined, part, now, self.cfg.max_parts);
@@ -368,12 +385,14 @@
         Some((first, events))
     }
 
-    /// Estimates the probability that an attempt at a sound prompt is lost, from all attempts since
-    /// `first` at engines that did not end under the part.
-    fn loss_probability(&self, part: PartId, first: Instant) -> f64 {
+    /// Estimates the probability that an attempt at a sound prompt is lost, from all attempts at the
+    /// service since `first`, at engines that did not end under the part.
+    fn loss_probability(&self, part: PartId, service: ServiceId, first: Instant) -> f64 {
         let begun: u64 = self
             .begun
-            .iter()
+            .get(&service)
+            .into_iter()
+            .flatten()
             .filter(|(start, _)| *start >= first)
             .map(|(_, count)| count)
             .sum();
@@ -385,7 +404,8 @@
         let is_other = |(loss, _): &&(LostAttempt, bool)| {
             let unique = loss.parts.unique;
             let is_explained = unique.is_some_and(|part| self.quarantined.contains_key(&part));
-            loss.lost_at >= first && !engines.contains(&loss.engine) && !is_explained
+            let is_other = loss.parts.service == service && !engines.contains(&loss.engine);
+            loss.lost_at >= first && is_other && !is_explained
         };
         let others = self.losses.iter().filter(is_other);
         let lost: HashSet<_> = others.map(|(loss, _)| loss.parts.unique).collect();
@@ -395,7 +415,12 @@
     }
 
     /// Returns the verdict on a part if chance no longer explains its lost attempts.
-    fn verdict(&self, part: PartId, is_unique: bool) -> Option<QuarantineVerdict> {
+    fn verdict(
+        &self,
+        part: PartId,
+        service: ServiceId,
+        is_unique: bool,
+    ) -> Option<QuarantineVerdict> {
         let needed = self.cfg.odds.ln();
         let (first, events) = self.events(part)?;
         if (events as f64) * -self.cfg.min_loss_probability.ln() < needed {
@@ -407,7 +432,7 @@
         if !is_unique && prompts.len() < 2 {
             return None;
         }
-        let loss_probability = self.loss_probability(part, first);
+        let loss_probability = self.loss_probability(part, service, first);
         let is_found = events as f64 * -loss_probability.ln() >= needed;
         is_found.then_some(QuarantineVerdict {
             part,
--- a/crates/cactusbarrow_policy/src/peer_table.rs
+++ b/crates/cactusbarrow_policy/src/peer_table.rs
@@ -14,6 +14,7 @@
 use crate::retry_window::RetryCount;
 use crate::store_position::StorePosition;
 use crate::store_watch::StoreStatus;
+use crate::stream_origins::ServiceId;
 
 /// Settings of [`PeerTable`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -76,6 +77,8 @@
     pub peers: Vec<Ipv4Addr>,
     /// Requests and retries in the last window, with the hash of the service's name.
     pub retries: Vec<(u64, RetryCount)>,
+    /// Generations whose response has begun since the peer started, by service.
+    pub begun: Vec<(ServiceId, u64)>,
     /// Whether the platform's store responded to the peer's last call.
     pub is_store_ok: bool,
     /// Time since the store confirmed the peer's data.
@@ -153,6 +156,28 @@
         true
     }
 
+    /// Returns how many generations of each service began at a peer between the last heartbeat that
+    /// was recorded and a new one.
+    pub fn begun_since_last(
+        &self,
+        from: Ipv4Addr,
+        heartbeat: &PeerHeartbeat,
+    ) -> Vec<(ServiceId, u64)> {
+        let last = self.peers.get(&from).map(|peer| &peer.heartbeat);
+        let Some(last) = last.filter(|last| last.incarnation == heartbeat.incarnation) else {
+            return Vec::new();
+        };
+        let known = |service: ServiceId| {
+            let entry = last.begun.iter().find(|(of, _)| *of == service);
+            entry.map_or(0, |(_, count)| *count)
+        };
+        let begun = heartbeat.begun.iter();
+        begun
+            .map(|(service, count)| (*service, count.saturating_sub(known(*service))))
+            .filter(|(_, count)| *count > 0)
+            .collect()
+    }
+
     /// Returns when the next heartbeat is due.
     pub fn next_due(&self) -> Option<Instant> {
         let wait = if self.is_dirty {
--- a/crates/cactusbarrow_policy/tests/part_quarantine.rs
+++ b/crates/cactusbarrow_policy/tests/part_quarantine.rs
@@ -452,3 +452,26 @@
     assert!(table.quarantined().len() <= cfg.max_parts);
     assert!(table.cleared().len() <= cfg.max_parts);
 }
+
+/// Guards against refusing all prompts for a service whose engines all fail, because another
+/// service responds.
+#[test]
+fn responses_of_another_service_are_no_comparison() {
+    let mut table = PartQuarantine::new(QuarantineConfig::default());
+    let other = ServiceName::from("other");
+    let mut now = Instant::now();
+    for i in 0..30_u64 {
+        for j in 0..10 {
+            let begun = PromptParts::new(&other, &[], Some(&format!("begun{i}-{j}")));
+            table.record_begun(&begun, now);
+        }
+        now += Duration::from_secs(1);
+        let loss = LostAttempt {
+            engine: IncarnationId::new("engine", i),
+            parts: parts(&["shared"], &format!("lost{i}")),
+            lost_at: now,
+        };
+        table.record_loss(loss, true, now);
+    }
+    assert_eq!(table.time_left(&parts(&["shared"], "next"), now), None);
+}
