--- a/crates/cactusbarrow_gateway/src/call.rs
+++ b/crates/cactusbarrow_gateway/src/call.rs
@@ -1,5 +1,6 @@
 //! Calls to plain services: the response is collected before it is passed on.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -34,6 +35,8 @@
 struct CallResponse {
     head: EngineResponse,
     body: Bytes,
+    /// Instance that responded.
+    instance: Arc<str>,
 }
 
 /// Counts the call as in flight at its backend server until it is dropped.
@@ -151,7 +154,7 @@
             );
             (CallEvent::Broken, None)
         }
-        Some(Ok((head, body))) => classify_response(req, key, head, body),
+        Some(Ok((head, body))) => classify_response(req, (key, entry), head, body),
     };
     let is_failure = !matches!(event, CallEvent::Responded { is_failure: false });
     shared.fleet().record_result(key, is_failure, shared.now());
@@ -161,7 +164,7 @@
 /// Classifies a response by what it means for the call.
 fn classify_response<C: Clock>(
     req: &AdmittedRequest<C>,
-    key: BackendKey,
+    (key, entry): (BackendKey, &BackendEntry),
     head: EngineResponse,
     body: Option<Bytes>,
 ) -> (CallEvent, Option<CallResponse>) {
@@ -181,7 +184,11 @@
     }
     req.shared.record_alive(key);
     let is_failure = head.status.is_server_error();
-    let response = CallResponse { head, body };
+    let response = CallResponse {
+        head,
+        body,
+        instance: entry.instance.clone(),
+    };
     (CallEvent::Responded { is_failure }, Some(response))
 }
 
@@ -250,6 +257,8 @@
     log::info!(
         request_id = req.caller.request_id.as_str(),
         kind = req.kind.name(),
+        instance = &*response.instance,
+        request_limit = response.head.request_limit,
         status = response.head.status.as_u16(),
         elapsed_ms = elapsed_ms(req, req.arrived);
         "call answered"
