Keep to the limits that backend servers name

Callers of lookups saw failures while two backend servers of the application were in need: each got up to twice the requests that it had named as its limit. The class of fault: a signal of overload that the sender ignores, and that many senders would each have obeyed by themselves.

Gateways now share the limits that they see in heartbeats. As many live gateways as a limit allows requests a second use the backend server, each with an equal share of it; the rest goes to others, and what no server takes is refused at once as not run, with the time until it may be taken.

Why it works: the users of a server are chosen by hashing the same list of live gateways, so their shares add up to the limit, and the requests that they may send at once are no more than the limit's requests in one second. When the lists differ for a moment, the margin covers it.

--- a/crates/cactusbarrow_gateway/src/call.rs
+++ b/crates/cactusbarrow_gateway/src/call.rs
@@ -73,7 +73,7 @@
 ) -> Result<CallResponse, Refusal> {
     loop {
         let Some((key, entry)) = choose_backend(req, plan) else {
-            return Err(plan_refusal(req, plan, Reason::NoBackend));
+            return Err(missing_backend_refusal(req, plan));
         };
         if req.time_left() < MIN_TIME_LEFT {
             return Err(plan_refusal(req, plan, Reason::Expired));
@@ -154,7 +154,12 @@
             );
             (CallEvent::Broken, None)
         }
-        Some(Ok((head, body))) => classify_response(req, (key, entry), head, body),
+        Some(Ok((head, body))) => {
+            if head.is_from_instance() {
+                shared.record_request_limit(key, head.request_limit, sent_at);
+            }
+            classify_response(req, (key, entry), head, body)
+        }
     };
     let is_failure = !matches!(event, CallEvent::Responded { is_failure: false });
     shared.fleet().record_result(key, is_failure, shared.now());
@@ -238,6 +243,18 @@
     );
 }
 
+/// Returns the refusal of a call for which no backend server is left, or all that are left have
+/// reached their limits.
+fn missing_backend_refusal<C: Clock>(req: &AdmittedRequest<C>, plan: &CallPlan) -> Refusal {
+    match req.limit_wait(plan.excluded()) {
+        Some(wait) if plan.outcome() == Outcome::NotRun => {
+            Refusal::not_run(Reason::BackendLimit, wait)
+        }
+        Some(_) => plan_refusal(req, plan, Reason::BackendLimit),
+        None => plan_refusal(req, plan, Reason::NoBackend),
+    }
+}
+
 fn plan_refusal<C: Clock>(req: &AdmittedRequest<C>, plan: &CallPlan, reason: Reason) -> Refusal {
     outcome_refusal(req, plan.outcome(), reason)
 }
--- a/crates/cactusbarrow_gateway/src/generation/attempt.rs
+++ b/crates/cactusbarrow_gateway/src/generation/attempt.rs
@@ -171,6 +171,7 @@
             holder: target.holder.as_ref().map(|holder| holder.entry.address),
             resume_from: target.resume_from.clone(),
         };
+        let sent_at = shared.now();
         let send = conn.send("send generation", engine_request.encode());
         let result = match wait_for_head(req, send, &mut loss, timeout, judge).await {
             HeadResult::Ended(result) => result,
@@ -191,6 +192,9 @@
         };
         let (head, body, driver) = response.into_parts();
         let head = decode_engine_response(head, &req.caller.request_id);
+        if head.is_from_instance() {
+            shared.record_request_limit(target.key, head.request_limit, sent_at);
+        }
         if head.status != StatusCode::MISDIRECTED_REQUEST {
             shared.record_alive(target.key);
         }
--- a/crates/cactusbarrow_gateway/src/generation/stream.rs
+++ b/crates/cactusbarrow_gateway/src/generation/stream.rs
@@ -253,7 +253,8 @@
 
     /// Draws the delay after which the caller may retry a refused generation.
     pub(crate) fn retry_after(&self) -> Duration {
-        self.req.retry_after()
+        let limit_wait = self.req.limit_wait(self.plan.excluded());
+        limit_wait.unwrap_or_else(|| self.req.retry_after())
     }
 
     /// Takes the response headers of the first engine that sent an event.
--- a/crates/cactusbarrow_gateway/src/generation/stream/target.rs
+++ b/crates/cactusbarrow_gateway/src/generation/stream/target.rs
@@ -39,6 +39,7 @@
             Some(id) if !shared.fleet().has_software(&self.req.service, id, now) => {
                 Reason::SoftwareGone
             }
+            _ if self.req.limit_wait(self.plan.excluded()).is_some() => Reason::BackendLimit,
             _ => Reason::NoBackend,
         }
     }
@@ -58,7 +59,8 @@
         };
         let holder = match self.next_start {
             AttemptStart::ReadPrompt => None,
-            AttemptStart::FromCopy(holder) => entry_of(holder),
+            AttemptStart::FromCopy(holder) if fleet.allows_request(holder, now) => entry_of(holder),
+            AttemptStart::FromCopy(_) => None,
         };
         let resume_from = holder
             .as_ref()
--- a/crates/cactusbarrow_gateway/src/peers.rs
+++ b/crates/cactusbarrow_gateway/src/peers.rs
@@ -3,18 +3,18 @@
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use cactusbarrow_adapter::{KeyValue, StoreClient};
 use cactusbarrow_net::{Body, Clock, HttpClient, HttpVersion, NetError, collect_limited};
 use cactusbarrow_policy::{
-    PeerHeartbeat, PeerLoad, PromptId, PromptLocation, RetryCount, ServiceId, StoreEra,
+    NamedLimit, PeerHeartbeat, PeerLoad, PromptId, PromptLocation, RetryCount, ServiceId, StoreEra,
     StorePosition,
 };
 use cactusbarrow_protocol::generated::{
-    EngineLoad, GatewayHeartbeat, GatewayKnowledge, KnowledgeRequest, PromptPlace, RetryUse,
-    StoreItem,
+    BackendLimit, EngineLoad, GatewayHeartbeat, GatewayKnowledge, KnowledgeRequest, PromptPlace,
+    RetryUse, StoreItem,
 };
 use http::{Method, Request, Response, StatusCode, Uri};
 use hyper::body::Incoming;
@@ -36,6 +36,9 @@
 /// Size of the largest engine load in bytes.
 const MAX_LOAD_BYTES: usize = 25;
 
+/// Largest number of backend servers' limits in a heartbeat, each up to 26 bytes.
+const MAX_HEARTBEAT_LIMITS: usize = 8;
+
 /// Largest number of prompts in a heartbeat, each 20 bytes.
 const MAX_HEARTBEAT_PROMPTS: usize = 12;
 
@@ -99,6 +102,7 @@
     let mut sequence = 0;
     loop {
         let now = shared.now();
+        shared.record_live_gateways();
         let targets = shared.peers().poll(now);
         if !targets.is_empty() {
             sequence += 1;
@@ -157,6 +161,13 @@
             .collect(),
         ..GatewayHeartbeat::default()
     };
+    heartbeat.limits = shared
+        .fleet()
+        .named_limits(now)
+        .iter()
+        .take(MAX_HEARTBEAT_LIMITS)
+        .map(|limit| limit_to_wire(limit, now))
+        .collect();
     prompt_quarantine::add_to_heartbeat(shared, &mut heartbeat);
     let room = MAX_HEARTBEAT_BYTES.saturating_sub(heartbeat.encoded_len());
     let loads = shared.fleet().own_loads(now);
@@ -255,6 +266,8 @@
         shared.quarantine().count_begun(service, count, now);
     }
     record_prompts(shared, &wire.prompts);
+    record_limits(shared, &wire.limits);
+    shared.record_live_gateways();
     prompt_quarantine::apply_heartbeat(shared, wire);
     shared.fleet().record_remote_loads(&loads);
     shared.cancel_unreliable_tokens();
@@ -272,6 +285,30 @@
     }
 }
 
+fn limit_to_wire(limit: &NamedLimit, now: Instant) -> BackendLimit {
+    let age = now.saturating_duration_since(limit.named_at).as_millis();
+    BackendLimit {
+        backend: limit.backend,
+        per_s: limit.per_s,
+        age_ms: age.try_into().unwrap_or(u32::MAX),
+    }
+}
+
+fn record_limits<C: Clock>(shared: &Shared<C>, limits: &[BackendLimit]) {
+    let now = shared.now();
+    let mut fleet = shared.fleet();
+    for limit in limits {
+        let age = Duration::from_millis(limit.age_ms.into());
+        let reported = NamedLimit {
+            backend: limit.backend,
+            per_s: limit.per_s,
+            // A host that has just started has no instant that long ago.
+            named_at: now.checked_sub(age).unwrap_or(now),
+        };
+        fleet.record_peer_limit(reported, now);
+    }
+}
+
 fn load_from_wire(load: &EngineLoad) -> PeerLoad {
     PeerLoad {
         engine: load.engine,
--- a/crates/cactusbarrow_gateway/src/request.rs
+++ b/crates/cactusbarrow_gateway/src/request.rs
@@ -7,8 +7,8 @@
 use cactusbarrow_adapter::CallerRequest;
 use cactusbarrow_net::{Body, Clock, collect_limited};
 use cactusbarrow_policy::{
-    CustomerSpec, OperatorConfig, PromptId, PromptParts, Reason, RequestKind, ResolveError, Route,
-    ServiceName, ServiceSpec, retry_after,
+    BackendKey, CustomerSpec, OperatorConfig, PromptId, PromptParts, Reason, RequestKind,
+    ResolveError, Route, ServiceName, ServiceSpec, retry_after,
 };
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -51,6 +51,17 @@
         retry_after(self.time_left(), &mut *self.shared.rng())
     }
 
+    /// Draws the delay after which the caller may retry if the limits of backend servers keep the
+    /// request from its service; returns `None` if they do not.
+    pub(crate) fn limit_wait(&self, excluded: &[BackendKey]) -> Option<Duration> {
+        let now = self.shared.now();
+        let wait = self
+            .shared
+            .fleet()
+            .limit_wait(&self.service, excluded, now)?;
+        Some(wait.max(self.retry_after()))
+    }
+
     /// Returns the id of the request's prompt, if the caller names the prompt's parts.
     pub(crate) fn prompt(&self) -> Option<PromptId> {
         let part = self.caller.unique_part.as_deref();
--- a/crates/cactusbarrow_gateway/src/shared.rs
+++ b/crates/cactusbarrow_gateway/src/shared.rs
@@ -516,6 +516,32 @@
         }
     }
 
+    /// Records the limit that the response to a request names, or that it names none.
+    pub(crate) fn record_request_limit(
+        &self,
+        key: BackendKey,
+        limit: Option<f64>,
+        sent_at: Instant,
+    ) {
+        let mut fleet = self.fleet();
+        if !fleet.record_limit(key, limit, sent_at, self.now()) {
+            return;
+        }
+        if let Some(backend) = fleet.get(key) {
+            let instance = &*backend.entry.instance;
+            log::info!(instance = instance, per_s = limit; "limit of a backend server changed");
+        }
+        self.load_change.notify();
+    }
+
+    /// Records the live gateways, among which the limits of backend servers are divided.
+    pub(crate) fn record_live_gateways(&self) {
+        let hash = |ip: Ipv4Addr| stable_hash(&ip.octets());
+        let own = hash(ipv4(self.settings.ip).unwrap_or(Ipv4Addr::UNSPECIFIED));
+        let peers: Vec<u64> = self.peers().live_peers(self.now()).map(hash).collect();
+        self.fleet().record_gateways(own, peers.into_iter());
+    }
+
     /// Records the first attempt of a request for a service.
     pub(crate) fn record_request(&self, service: &ServiceName) {
         let (limits, now) = (self.retry_limits(), self.now());
--- a/crates/cactusbarrow_policy/src/backend.rs
+++ b/crates/cactusbarrow_policy/src/backend.rs
@@ -11,6 +11,7 @@
 use crate::heartbeat::Heartbeat;
 use crate::operator_config::ServiceName;
 use crate::outcome::Reason;
+use crate::request_limit::RequestLimit;
 use crate::software::{SoftwareId, SoftwareVersion};
 
 new_key_type! {
@@ -123,6 +124,7 @@
     pub(crate) remote_memory_tokens: u64,
     pub(crate) remote_avoiders: u64,
     pub(crate) failures: FailureRate,
+    pub(crate) request_limit: Option<RequestLimit>,
 }
 
 /// Moving average of the share of failed requests; decays with time.
@@ -169,6 +171,7 @@
             remote_memory_tokens: 0,
             remote_avoiders: 0,
             failures: FailureRate::default(),
+            request_limit: None,
         }
     }
 
--- a/crates/cactusbarrow_policy/src/backend_fleet.rs
+++ b/crates/cactusbarrow_policy/src/backend_fleet.rs
@@ -38,6 +38,8 @@
     by_instance: HashMap<Arc<str>, BackendKey>,
     pub(crate) zone_losses: HashMap<Arc<str>, Vec<Instant>>,
     unreliable: Vec<BackendKey>,
+    pub(crate) own_gateway: u64,
+    pub(crate) peer_gateways: Vec<u64>,
 }
 
 impl BackendFleet {
@@ -278,6 +280,7 @@
 
     /// Records that a generation was sent to an engine.
     pub fn start_generation(&mut self, engine: BackendKey, work: BackendWork, now: Instant) {
+        self.take_token(engine, now);
         if let Some(backend) = self.backends.get_mut(engine) {
             backend.restart_heartbeat_if_idle(now);
             backend.in_flight += 1;
@@ -326,6 +329,7 @@
 
     /// Records that a call was sent.
     pub fn start_call(&mut self, key: BackendKey, now: Instant) {
+        self.take_token(key, now);
         if let Some(backend) = self.backends.get_mut(key) {
             backend.restart_heartbeat_if_idle(now);
             backend.in_flight += 1;
--- a/crates/cactusbarrow_policy/src/fleet_config.rs
+++ b/crates/cactusbarrow_policy/src/fleet_config.rs
@@ -31,6 +31,8 @@
     pub zone_loss_window: Duration,
     /// Share of an engine's memory that may be occupied.
     pub memory_share: f64,
+    /// Time after which the limit of a backend server that sends no more responses is ignored.
+    pub limit_memory: Duration,
     /// Weight of the newest result in the failure rate of a backend server.
     pub failure_weight: f64,
     /// Half-life of the failure rate.
@@ -58,6 +60,7 @@
             running_cost: 4_000,
             zone_loss_cost: 20_000,
             copy_cost_step: 8_000,
+            limit_memory: Duration::from_secs(60),
             zone_loss_window: Duration::from_millis(1_500),
             memory_share: 0.9,
             failure_weight: 0.4,
--- a/crates/cactusbarrow_policy/src/outcome.rs
+++ b/crates/cactusbarrow_policy/src/outcome.rs
@@ -86,6 +86,8 @@
     WrongVersion = "wrong_version",
     /// No backend server is available for the request.
     NoBackend = "no_backend",
+    /// The limits that backend servers name allow no further request now.
+    BackendLimit = "backend_limit",
     /// No backend server has the software version that began the stream.
     SoftwareGone = "software_gone",
     /// The software version that began the stream is not known.
--- a/crates/cactusbarrow_policy/src/placement.rs
+++ b/crates/cactusbarrow_policy/src/placement.rs
@@ -52,6 +52,7 @@
         } = *placement;
         let is_usable = |b: &Backend| {
             software.is_none_or(|software| b.software == software)
+                && self.has_token(b, now)
                 && b.fits(capacity, self.cfg.memory_share, work.memory_tokens)
         };
         self.choose(service, excluded, now, rng, is_usable, |b| {
@@ -112,7 +113,7 @@
             excluded,
             now,
             rng,
-            |_| true,
+            |b| self.has_token(b, now),
             |b| {
                 let failures = b.failures.value_at(self.cfg.failure_half_life, now);
                 b.in_flight as f64 + failures * self.cfg.failure_cost
