--- a/crates/cactusbarrow_policy/tests/request_limits.rs
+++ b/crates/cactusbarrow_policy/tests/request_limits.rs
@@ -89,7 +89,9 @@
             .filter(|i| gateways[*i].is_known(now))
             .map(hash)
             .collect();
-        let is_heartbeat = (now - start).as_millis() % HEARTBEAT_INTERVAL.as_millis() == 0;
+        let is_heartbeat = (now - start)
+            .as_millis()
+            .is_multiple_of(HEARTBEAT_INTERVAL.as_millis());
         let reported: Vec<_> = gateways
             .iter()
             .filter(|gateway| gateway.runs(now))
