--- /dev/null
+++ b/crates/cactusbarrow_gateway/tests/endless_bytes.rs
@@ -0,0 +1,99 @@
+//! Backend servers that send bytes without end in place of a response.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use cactusbarrow_adapter_standins::{
+    DEFAULT_SOFTWARE, EndlessBytes, EndlessStandin, entry_json_with_software,
+};
+use common::{EVENTS, Gateway, TestCluster, caller_head, eventually};
+
+/// Longest time until a request that may be repeated has been answered by another backend server.
+const RESPONSE_TIME: Duration = Duration::from_secs(5);
+
+/// Starts a cluster with a backend server of `service` that sends bytes without end, and one that
+/// does not.
+async fn start(bytes: EndlessBytes, service: &str) -> (TestCluster, EndlessStandin, Gateway) {
+    let mut cluster = TestCluster::start(1).await;
+    let app = cluster.apps.remove(1);
+    cluster.store.delete(&format!("servers/{}", app.instance()));
+    let endless = EndlessStandin::start(bytes)
+        .await
+        .expect("start a backend server");
+    let entry = entry_json_with_software(
+        service,
+        endless.addr(),
+        "zona-pa",
+        "ready",
+        DEFAULT_SOFTWARE,
+    );
+    cluster.store.put("servers/endless", &entry);
+    let gateway = cluster.one_gateway().await;
+    eventually("all are listed", || gateway.handle.status().backends == 3).await;
+    (cluster, endless, gateway)
+}
+
+async fn assert_is_closed(endless: &EndlessStandin, bytes: EndlessBytes) {
+    assert!(endless.requests() > 0, "{bytes:?}: it got no request");
+    eventually("the gateway closes the connections", || {
+        endless.open_connections() == 0
+    })
+    .await;
+}
+
+/// Guards against gateways that pass such bytes on, or keep on reading them.
+#[tokio::test]
+async fn generation_leaves_an_engine_that_sends_bytes_without_end() {
+    for bytes in EndlessBytes::ALL {
+        let (_cluster, endless, gateway) = start(bytes, "llm").await;
+        for i in 0..20 {
+            let id = format!("g-{i}");
+            let started_at = Instant::now();
+            let response = gateway.call(&caller_head(&id, "/stream/1"), "POST").await;
+            assert_eq!(response.event_ids().len() as u64, EVENTS, "{bytes:?}");
+            assert!(!response.text().contains("data: x\n"), "{bytes:?}");
+            assert!(started_at.elapsed() < RESPONSE_TIME, "{bytes:?}");
+            if endless.requests() > 0 {
+                break;
+            }
+        }
+        assert_is_closed(&endless, bytes).await;
+    }
+}
+
+#[tokio::test]
+async fn idempotent_call_leaves_a_backend_that_sends_bytes_without_end() {
+    for bytes in EndlessBytes::ALL {
+        let (_cluster, endless, gateway) = start(bytes, "app").await;
+        for i in 0..20 {
+            let id = format!("r-{i}");
+            let response = gateway.call(&caller_head(&id, "/read/a"), "GET").await;
+            assert_eq!(response.status(), 200, "{bytes:?}");
+            assert_eq!(response.text(), format!("answer to {id}"), "{bytes:?}");
+            if endless.requests() > 0 {
+                break;
+            }
+        }
+        assert_is_closed(&endless, bytes).await;
+    }
+}
+
+#[tokio::test]
+async fn non_idempotent_call_ends_at_a_backend_that_sends_bytes_without_end() {
+    for bytes in EndlessBytes::ALL {
+        let (cluster, endless, gateway) = start(bytes, "app").await;
+        for i in 0..20 {
+            let id = format!("w-{i}");
+            let response = gateway.call(&caller_head(&id, "/write/a"), "POST").await;
+            if endless.requests() == 0 {
+                assert_eq!(response.status(), 200, "{bytes:?}");
+                continue;
+            }
+            assert!(matches!(response.status(), 502 | 504), "{bytes:?}");
+            assert_eq!(cluster.run_count(&id), 0, "{bytes:?}: it was repeated");
+            break;
+        }
+        assert_is_closed(&endless, bytes).await;
+    }
+}
