Take events without ids for broken off

A caller could get bytes without end as its generation: the gateway passed events without ids on, and an engine that sends bytes which are no response can send lines that look like such events. The test shows it: the response of the caller never became complete.

Each event of a generation has an id, so one without is now treated like one whose id does not follow the last: the attempt is broken off, its connection closed, and the generation goes on at another engine. All six kinds of endless bytes of the test end so.

--- a/crates/cactusbarrow_gateway/src/generation/stream.rs
+++ b/crates/cactusbarrow_gateway/src/generation/stream.rs
@@ -392,19 +392,21 @@
 
     /// Accepts an event if its id follows the last one.
     fn accept_event(&mut self, event: RawEvent) -> Result<Bytes, ResumeEvent> {
-        if let Some(id) = event.id {
-            let expected = self.last_event.map_or(id, |last| last + 1);
-            if id != expected {
-                log::warn!(
-                    request_id = self.request_id(),
-                    expected = expected,
-                    received = id;
-                    "event id does not follow the last one"
-                );
-                return Err(ResumeEvent::Broken);
-            }
-            self.last_event = Some(id);
-        }
+        let expected = self.last_event.map(|last| last + 1);
+        // Bytes that are no events of the generation have no ids.
+        let next = event
+            .id
+            .filter(|id| expected.is_none_or(|expected| *id == expected));
+        let Some(id) = next else {
+            log::warn!(
+                request_id = self.request_id(),
+                expected = expected,
+                received = event.id;
+                "event id does not follow the last one"
+            );
+            return Err(ResumeEvent::Broken);
+        };
+        self.last_event = Some(id);
         self.plan.record_progress();
         let now = self.req.shared.now();
         self.last_progress_at = now;
