Count the response of each attempt once

A response was counted when it had clearly begun and again at its end, so the probability that chance explains a lost attempt was estimated too low, and sound prompts could be refused too soon. Each attempt now counts once. Found by reading; no test.

--- a/crates/cactusbarrow_gateway/src/generation/stream.rs
+++ b/crates/cactusbarrow_gateway/src/generation/stream.rs
@@ -37,7 +37,7 @@
 /// the response.
 const STARTING_TIME: Duration = Duration::from_millis(500);
 
-/// The start of an attempt.
+/// An attempt whose response has not clearly begun.
 struct StartingAttempt {
     engine: BackendEntry,
     first_event_at: Option<Instant>,
@@ -68,6 +68,8 @@
     parts: PromptParts,
     /// Start of the current attempt, until its response has clearly begun.
     starting: Option<StartingAttempt>,
+    /// Whether it is recorded that the response of the current attempt has begun.
+    is_begun_recorded: bool,
     running: Option<Box<RunningAttempt<C>>>,
     /// Attempt at a suspected engine, which goes on if its successor is declined.
     fallback: Option<Box<RunningAttempt<C>>>,
@@ -110,6 +112,7 @@
             next_start: AttemptStart::ReadPrompt,
             parts: req.prompt_parts(),
             starting: None,
+            is_begun_recorded: false,
             running: None,
             fallback: None,
             holder: None,
@@ -324,8 +327,7 @@
             }
             AttemptItem::End => {
                 self.store_head();
-                self.starting = None;
-                prompt_quarantine::record_begun(&self.req.shared, &self.parts);
+                self.record_begun();
                 if let Some(running) = &self.running {
                     running.copies.release();
                 }
@@ -410,7 +412,7 @@
         self.plan.record_progress();
         let now = self.req.shared.now();
         self.last_progress_at = now;
-        self.record_start(now);
+        self.record_attempt_event(now);
         if let Some(at) = self.last_event_at.replace(now) {
             self.longest_pause = self.longest_pause.max(now.saturating_duration_since(at));
         } else {
@@ -421,14 +423,21 @@
         Ok(event.bytes)
     }
 
-    /// Records an event of an attempt that has just started.
-    fn record_start(&mut self, now: Instant) {
+    /// Records an event of the current attempt.
+    fn record_attempt_event(&mut self, now: Instant) {
         let Some(starting) = &mut self.starting else {
             return;
         };
         let first_event_at = *starting.first_event_at.get_or_insert(now);
         if now.saturating_duration_since(first_event_at) >= STARTING_TIME {
-            self.starting = None;
+            self.record_begun();
+        }
+    }
+
+    /// Records once for each attempt that its response has clearly begun.
+    fn record_begun(&mut self) {
+        self.starting = None;
+        if !std::mem::replace(&mut self.is_begun_recorded, true) {
             prompt_quarantine::record_begun(&self.req.shared, &self.parts);
         }
     }
@@ -499,6 +508,7 @@
             engine: target.entry.clone(),
             first_event_at: None,
         });
+        self.is_begun_recorded = false;
         let refused = prompt_quarantine::wait_until_refused(&self.req.shared, &self.parts);
         let (opened, fallback) = tokio::select! {
             biased;
