Keep heartbeats with lost attempts within one datagram

With prompts of many parts, lost attempts could make a heartbeat longer than the 1,400 bytes that peers receive, and they would take the sender for lost. At most eight shared parts of a prompt are considered now, four from each end, and fewer entries of each kind are sent. If a heartbeat is still too long, it names fewer prompts. Found by adding up the sizes; the test covers the number of parts.

--- a/crates/cactusbarrow_gateway/src/peers.rs
+++ b/crates/cactusbarrow_gateway/src/peers.rs
@@ -169,6 +169,8 @@
         .map(|limit| limit_to_wire(limit, now))
         .collect();
     prompt_quarantine::add_to_heartbeat(shared, &mut heartbeat);
+    // A longer datagram would be truncated, and the sender taken for lost.
+    while heartbeat.encoded_len() > MAX_HEARTBEAT_BYTES && heartbeat.prompts.pop().is_some() {}
     let room = MAX_HEARTBEAT_BYTES.saturating_sub(heartbeat.encoded_len());
     let loads = shared.fleet().own_loads(now);
     let max_loads = (room / MAX_LOAD_BYTES).min(MAX_HEARTBEAT_LOADS);
--- a/crates/cactusbarrow_gateway/src/prompt_quarantine.rs
+++ b/crates/cactusbarrow_gateway/src/prompt_quarantine.rs
@@ -27,10 +27,10 @@
 /// Time for which heartbeats repeat a lost attempt or a cleared part, in case some are not received.
 const REPEAT_TIME: Duration = Duration::from_secs(5);
 
-/// Largest numbers of entries in a heartbeat: lost attempts of up to 70 bytes, parts of 14 bytes.
-const MAX_HEARTBEAT_LOSSES: usize = 4;
-const MAX_HEARTBEAT_QUARANTINED: usize = 8;
-const MAX_HEARTBEAT_CLEARED: usize = 6;
+/// Largest numbers of entries in a heartbeat: lost attempts of up to 105 bytes, parts of 18 bytes.
+const MAX_HEARTBEAT_LOSSES: usize = 3;
+const MAX_HEARTBEAT_QUARANTINED: usize = 6;
+const MAX_HEARTBEAT_CLEARED: usize = 4;
 
 /// Delay before a page is written, so that what follows at once is on it, too.
 const WRITE_DELAY: Duration = Duration::from_millis(300);
--- a/crates/cactusbarrow_policy/src/part_quarantine.rs
+++ b/crates/cactusbarrow_policy/src/part_quarantine.rs
@@ -42,17 +42,21 @@
 }
 
 impl PromptParts {
-    /// Maximum number of shared parts that are considered, from the end of the prompt.
-    const MAX_SHARED: usize = 16;
+    /// Maximum number of shared parts that are considered, half of them from each end of a longer
+    /// prompt: those that most other prompts share, and those that the fewest do.
+    const MAX_SHARED: usize = 8;
 
     /// Creates the parts of a prompt for a service from their ids.
     pub fn new(service: &ServiceName, shared: &[String], unique: Option<&str>) -> Self {
         let service = ServiceId::from_name(service);
         let id_of = |part: &str| PartId(mix(stable_hash(part.as_bytes()) ^ service.0));
-        let skipped = shared.len().saturating_sub(Self::MAX_SHARED);
+        let half = Self::MAX_SHARED / 2;
+        let is_considered =
+            |i: usize| shared.len() <= Self::MAX_SHARED || i < half || i + half >= shared.len();
+        let considered = shared.iter().enumerate().filter(|(i, _)| is_considered(*i));
         Self {
             service,
-            shared: shared[skipped..].iter().map(|part| id_of(part)).collect(),
+            shared: considered.map(|(_, part)| id_of(part)).collect(),
             unique: unique.map(id_of),
         }
     }
--- a/crates/cactusbarrow_policy/tests/part_quarantine.rs
+++ b/crates/cactusbarrow_policy/tests/part_quarantine.rs
@@ -475,3 +475,14 @@
     }
     assert_eq!(table.time_left(&parts(&["shared"], "next"), now), None);
 }
+
+/// Guards against heartbeats that outgrow a datagram.
+#[test]
+fn long_prompts_are_judged_by_their_first_and_last_parts() {
+    let ids: Vec<String> = (0..40).map(|i| format!("part{i}")).collect();
+    let service = ServiceName::from("llm");
+    let id = |i: usize| PromptParts::new(&service, &ids[i..=i], None).shared[0];
+    let long = PromptParts::new(&service, &ids, None);
+    let expected: Vec<PartId> = [0, 1, 2, 3, 36, 37, 38, 39].map(id).to_vec();
+    assert_eq!(long.shared, expected);
+}
