Name at most four limits in a heartbeat

Eight limits took up to 208 of the 1,400 bytes of a heartbeat and left little room for loads. Limits are sent newest first, and each response renews one, so that more than four take turns. Found by adding up the sizes; no test.

--- a/crates/cactusbarrow_gateway/src/peers.rs
+++ b/crates/cactusbarrow_gateway/src/peers.rs
@@ -37,7 +37,7 @@
 const MAX_LOAD_BYTES: usize = 25;
 
 /// Largest number of backend servers' limits in a heartbeat, each up to 26 bytes.
-const MAX_HEARTBEAT_LIMITS: usize = 8;
+const MAX_HEARTBEAT_LIMITS: usize = 4;
 
 /// Largest number of prompts in a heartbeat, each 20 bytes.
 const MAX_HEARTBEAT_PROMPTS: usize = 12;
