Count lost attempts that a retry saved, and give up no usual attempt

The cause is that a loss was forgotten when its retry began to respond, so the probability of a loss by chance was estimated too low. Besides, a first part that two deadly parts share could be taken for the culprit.

Saved losses now count as losses by chance, a prompt itself is quarantined only after five events, and events that a later shared part explains as well are no evidence against an earlier one. This works because losses that retries save are just those that chance explains.

--- a/crates/cactusbarrow_policy/src/part_quarantine.rs
+++ b/crates/cactusbarrow_policy/src/part_quarantine.rs
@@ -103,6 +103,9 @@
     pub event_spacing: Duration,
     /// How improbable it has to be that chance explains the lost attempts, as odds against it.
     pub odds: f64,
+    /// Number of events after which a prompt is quarantined by its unique part, not below the usual
+    /// number of attempts: until then another attempt may save a sound prompt.
+    pub min_prompt_events: usize,
     /// Lowest assumed probability that an attempt at a sound prompt is lost.
     pub min_loss_probability: f64,
     /// Maximum number of lost attempts that are remembered, about 150 bytes each.
@@ -118,6 +121,7 @@
             memory: Duration::from_secs(600),
             event_spacing: Duration::from_millis(400),
             odds: 10_000.0,
+            min_prompt_events: 5,
             min_loss_probability: 0.02,
             max_losses: 256,
             max_parts: 256,
@@ -138,12 +142,23 @@
     pub loss_probability: f64,
 }
 
+/// A lost attempt in the table.
+#[derive(Clone, Debug)]
+struct RecordedLoss {
+    loss: LostAttempt,
+    /// Unique part of the prompt, also after it was cleared.
+    prompt: Option<PartId>,
+    /// Whether it was an attempt of this gateway.
+    is_own: bool,
+}
+
 /// Table of lost attempts and quarantined parts, as known to this gateway.
 #[derive(Clone, Debug)]
 pub struct PartQuarantine {
     cfg: QuarantineConfig,
-    /// Lost attempts that nothing explains yet, with whether this gateway recorded them.
-    losses: Vec<(LostAttempt, bool)>,
+    /// Lost attempts whose engine's end no quarantined part explains. Cleared parts are removed from
+    /// them; one that has none left still shows that attempts at sound prompts are lost.
+    losses: Vec<RecordedLoss>,
     /// Engines whose end a quarantined part explains, and when that was found.
     explained: HashMap<IncarnationId, Instant>,
     /// Suspected parts with which a response began, and when.
@@ -185,10 +200,7 @@
         *self.own_begun.entry(parts.service).or_default() += 1;
         self.count_begun(parts.service, 1, now);
         let is_suspect = |part: &PartId| {
-            let is_lost = self
-                .losses
-                .iter()
-                .any(|(loss, _)| loss.parts.contains(*part));
+            let is_lost = self.with_part(*part).next().is_some();
             is_lost || self.quarantined.contains_key(part)
         };
         let suspects: Vec<PartId> = parts.iter().filter(is_suspect).collect();
@@ -221,12 +233,11 @@
 
     /// Clears a part with which a response began at `begun_at`, here or at a peer.
     pub fn clear(&mut self, part: PartId, begun_at: Instant) {
-        for (loss, _) in &mut self.losses {
+        for RecordedLoss { loss, .. } in &mut self.losses {
             if loss.lost_at <= begun_at {
                 loss.parts.remove(part);
             }
         }
-        self.losses.retain(|(loss, _)| !loss.parts.is_empty());
         if self
             .quarantined
             .get(&part)
@@ -247,9 +258,9 @@
         now: Instant,
     ) -> Vec<QuarantineVerdict> {
         self.expire(now);
-        let is_known = |(known, _): &(LostAttempt, bool)| {
-            known.engine == loss.engine && known.parts.unique == loss.parts.unique
-        };
+        let prompt = loss.parts.unique;
+        let is_known =
+            |known: &RecordedLoss| known.loss.engine == loss.engine && known.prompt == prompt;
         if self.explained.contains_key(&loss.engine) || self.losses.iter().any(is_known) {
             return Vec::new();
         }
@@ -283,14 +294,15 @@
         let is_open = |part: &PartId| cleared.get(part).is_none_or(|at| *at < lost_at);
         loss.parts.shared.retain(is_open);
         loss.parts.unique = loss.parts.unique.filter(is_open);
-        if loss.parts.is_empty() {
-            return verdicts;
-        }
         if self.losses.len() >= self.cfg.max_losses {
             self.losses.remove(0);
         }
         let parts = loss.parts.clone();
-        self.losses.push((loss, is_own));
+        self.losses.push(RecordedLoss {
+            loss,
+            prompt,
+            is_own,
+        });
         verdicts.extend(self.judge(&parts, now));
         verdicts
     }
@@ -301,11 +313,8 @@
     /// under a quarantined part are no evidence against the parts before it.
     pub fn judge(&mut self, parts: &PromptParts, now: Instant) -> Vec<QuarantineVerdict> {
         let mut verdicts = Vec::new();
-        for part in parts
-            .unique
-            .into_iter()
-            .chain(parts.shared.iter().rev().copied())
-        {
+        let last_first = parts.unique.into_iter();
+        for part in last_first.chain(parts.shared.iter().rev().copied()) {
             if self.quarantined.contains_key(&part) {
                 continue;
             }
@@ -347,8 +356,9 @@
 
     /// Returns this gateway's own lost attempts that nothing explains yet, the newest first.
     pub fn own_losses(&self) -> impl Iterator<Item = &LostAttempt> {
-        let own = self.losses.iter().rev().filter(|(_, is_own)| *is_own);
-        own.map(|(loss, _)| loss)
+        let own = self.losses.iter().rev().filter(|recorded| recorded.is_own);
+        let losses = own.map(|recorded| &recorded.loss);
+        losses.filter(|loss| !loss.parts.is_empty())
     }
 
     fn held_since(&self, part: PartId, now: Instant) -> Option<Instant> {
@@ -361,21 +371,43 @@
     /// Attempts at the prompt that `part` is unique to still count against its shared parts.
     fn explain(&mut self, engine: IncarnationId, part: PartId, now: Instant) {
         self.losses
-            .retain(|(loss, _)| loss.engine != engine || loss.parts.unique == Some(part));
+            .retain(|known| known.loss.engine != engine || known.prompt == Some(part));
         insert_bounded(&mut self.explained, engine, now, self.cfg.max_losses);
     }
 
+    /// Returns the lost attempts for which a part may be at fault.
+    fn with_part(&self, part: PartId) -> impl Iterator<Item = &LostAttempt> {
+        let losses = self.losses.iter().map(|recorded| &recorded.loss);
+        losses.filter(move |loss| loss.parts.contains(part))
+    }
+
     fn engines_lost_under(&self, part: PartId) -> HashSet<IncarnationId> {
-        let has_part = |(loss, _): &&(LostAttempt, bool)| loss.parts.contains(part);
-        let with_part = self.losses.iter().filter(has_part);
-        with_part.map(|(loss, _)| loss.engine).collect()
+        self.with_part(part).map(|loss| loss.engine).collect()
     }
 
     /// Returns when the first attempt at a prompt with a part was lost, and in how many separate
     /// events that happened.
     fn events(&self, part: PartId) -> Option<(Instant, usize)> {
-        let with_part = self.losses.iter().filter(|(l, _)| l.parts.contains(part));
-        let mut lost_at: Vec<Instant> = with_part.map(|(loss, _)| loss.lost_at).collect();
+        self.count_events(self.with_part(part))
+    }
+
+    /// Returns the same for those lost attempts that no later shared part explains as well.
+    fn own_events(&self, part: PartId) -> Option<(Instant, usize)> {
+        let is_suspect = |later: &PartId| self.events(*later).is_some_and(|(_, n)| n >= 2);
+        let has_later_suspect = |loss: &&LostAttempt| {
+            let shared = loss.parts.shared.iter();
+            shared.rev().take_while(|own| **own != part).any(is_suspect)
+        };
+        let is_unique = |loss: &&LostAttempt| loss.parts.unique == Some(part);
+        let losses = self.with_part(part);
+        self.count_events(losses.filter(|loss| is_unique(loss) || !has_later_suspect(loss)))
+    }
+
+    fn count_events<'a>(
+        &self,
+        losses: impl Iterator<Item = &'a LostAttempt>,
+    ) -> Option<(Instant, usize)> {
+        let mut lost_at: Vec<Instant> = losses.map(|loss| loss.lost_at).collect();
         lost_at.sort_unstable();
         let first = *lost_at.first()?;
         let mut events = 0;
@@ -405,15 +437,15 @@
             return 1.0;
         }
         let engines = self.engines_lost_under(part);
-        let is_other = |(loss, _): &&(LostAttempt, bool)| {
-            let unique = loss.parts.unique;
-            let is_explained = unique.is_some_and(|part| self.quarantined.contains_key(&part));
-            let is_other = loss.parts.service == service && !engines.contains(&loss.engine);
-            loss.lost_at >= first && is_other && !is_explained
+        let is_other = |recorded: &&RecordedLoss| {
+            let RecordedLoss { loss, prompt, .. } = recorded;
+            let is_explained = prompt.is_some_and(|part| self.quarantined.contains_key(&part));
+            let is_other_engine = !engines.contains(&loss.engine);
+            let is_same_service = loss.parts.service == service;
+            loss.lost_at >= first && is_same_service && is_other_engine && !is_explained
         };
-        let others = self.losses.iter().filter(is_other);
-        let lost: HashSet<_> = others.map(|(loss, _)| loss.parts.unique).collect();
-        let lost = lost.len() as f64;
+        let lost = self.losses.iter().filter(is_other).count();
+        let lost = lost as f64;
         let probability = (lost + 1.0) / (begun as f64 + lost + 1.0);
         probability.max(self.cfg.min_loss_probability)
     }
@@ -426,14 +458,18 @@
         is_unique: bool,
     ) -> Option<QuarantineVerdict> {
         let needed = self.cfg.odds.ln();
-        let (first, events) = self.events(part)?;
+        let (first, events) = self.own_events(part)?;
         if (events as f64) * -self.cfg.min_loss_probability.ln() < needed {
             return None;
         }
-        let with_part = self.losses.iter().filter(|(l, _)| l.parts.contains(part));
-        let prompts: HashSet<_> = with_part.map(|(loss, _)| loss.parts.unique).collect();
+        let prompts: HashSet<_> = self.with_part(part).map(|loss| loss.parts.unique).collect();
         // Lost attempts at one prompt do not show that a shared part is at fault.
-        if !is_unique && prompts.len() < 2 {
+        let is_enough = if is_unique {
+            events >= self.cfg.min_prompt_events
+        } else {
+            prompts.len() >= 2
+        };
+        if !is_enough {
             return None;
         }
         let loss_probability = self.loss_probability(part, service, first);
@@ -449,7 +485,8 @@
     fn expire(&mut self, now: Instant) {
         let cfg = self.cfg;
         let is_recent = |at: Instant| now.saturating_duration_since(at) < cfg.memory;
-        self.losses.retain(|(loss, _)| is_recent(loss.lost_at));
+        self.losses
+            .retain(|recorded| is_recent(recorded.loss.lost_at));
         self.explained.retain(|_, at| is_recent(*at));
         self.cleared.retain(|_, at| is_recent(*at));
         self.quarantined
--- a/crates/cactusbarrow_policy/tests/part_quarantine.rs
+++ b/crates/cactusbarrow_policy/tests/part_quarantine.rs
@@ -486,3 +486,20 @@
     let expected: Vec<PartId> = [0, 1, 2, 3, 36, 37, 38, 39].map(id).to_vec();
     assert_eq!(long.shared, expected);
 }
+
+/// Guards against giving up attempts that save sound prompts while zones are lost again and again.
+#[test]
+fn no_attempt_at_a_sound_prompt_is_given_up_beside_zone_losses() {
+    for interval_ms in [700, 1_000, 1_100] {
+        for seed in 0..SEEDS {
+            let load = Load {
+                deadly_share: 0.0,
+                zone_losses: Some(Duration::from_millis(interval_ms)),
+                duration: Duration::from_secs(300),
+                ..USUAL
+            };
+            let refused = Replay::new(load, seed).run().refused_sound;
+            assert_eq!(refused, 0, "interval {interval_ms} ms, seed {seed}");
+        }
+    }
+}
