Part the start of attempts from the stream of a generation

What relates the end of an engine to the start of a response is now in a module of its own. Only moved; the tests of the gateway pass.

--- a/crates/cactusbarrow_gateway/src/generation/stream.rs
+++ b/crates/cactusbarrow_gateway/src/generation/stream.rs
@@ -1,5 +1,6 @@
 //! The event stream of one generation across all its attempts.
 
+mod starting;
 mod target;
 
 use std::pin::pin;
@@ -9,8 +10,8 @@
 use cactusbarrow_adapter::EngineResponse;
 use cactusbarrow_net::{Clock, RawEvent};
 use cactusbarrow_policy::{
-    AttemptStart, BackendEntry, BackendKey, GenerationSize, GenerationTimes, Outcome, PromptParts,
-    Reason, ResumeAction, ResumeEvent, ResumePlan, SoftwareId,
+    AttemptStart, BackendKey, GenerationSize, GenerationTimes, Outcome, PromptParts, Reason,
+    ResumeAction, ResumeEvent, ResumePlan, SoftwareId,
 };
 use http::HeaderMap;
 
@@ -19,6 +20,7 @@
 use crate::request::AdmittedRequest;
 use crate::stream_origins;
 use crate::{prompt_quarantine, prompt_search};
+use starting::StartingAttempt;
 
 /// Time-out of the first event from a live engine, as a multiple of the latency objective.
 const FIRST_EVENT_TIMEOUT_OBJECTIVES: u32 = 2;
@@ -33,16 +35,6 @@
 /// declines within it, and two engines must not work on a generation for longer.
 const FALLBACK_TIME: Duration = Duration::from_millis(300);
 
-/// Time after its first event in which the end of an attempt's engine is still related to the start of
-/// the response.
-const STARTING_TIME: Duration = Duration::from_millis(500);
-
-/// An attempt whose response has not clearly begun.
-struct StartingAttempt {
-    engine: BackendEntry,
-    first_event_at: Option<Instant>,
-}
-
 /// The next item that a generation delivers to its caller.
 pub(crate) enum GenerationItem {
     /// The next event.
@@ -182,11 +174,6 @@
         }
     }
 
-    /// Returns for how long prompts like this one are refused; `None` if they are not.
-    pub(crate) fn quarantine_time_left(&self) -> Option<Duration> {
-        prompt_quarantine::time_left(&self.req.shared, &self.parts)
-    }
-
     /// Finds the software version that began a stream which the caller resumes; returns false if it
     /// is not known.
     pub(crate) async fn find_origin(&mut self) -> bool {
@@ -423,25 +410,6 @@
         Ok(event.bytes)
     }
 
-    /// Records an event of the current attempt.
-    fn record_attempt_event(&mut self, now: Instant) {
-        let Some(starting) = &mut self.starting else {
-            return;
-        };
-        let first_event_at = *starting.first_event_at.get_or_insert(now);
-        if now.saturating_duration_since(first_event_at) >= STARTING_TIME {
-            self.record_begun();
-        }
-    }
-
-    /// Records once for each attempt that its response has clearly begun.
-    fn record_begun(&mut self) {
-        self.starting = None;
-        if !std::mem::replace(&mut self.is_begun_recorded, true) {
-            prompt_quarantine::record_begun(&self.req.shared, &self.parts);
-        }
-    }
-
     /// Records which software version brought the first event.
     fn record_origin(&mut self) {
         let Some(running) = &self.running else {
@@ -504,11 +472,7 @@
             .time_left()
             .min(self.req.objective * FIRST_EVENT_TIMEOUT_OBJECTIVES);
         let fallback = self.fallback.take();
-        self.starting = Some(StartingAttempt {
-            engine: target.entry.clone(),
-            first_event_at: None,
-        });
-        self.is_begun_recorded = false;
+        self.record_attempt_start(target.entry.clone());
         let refused = prompt_quarantine::wait_until_refused(&self.req.shared, &self.parts);
         let (opened, fallback) = tokio::select! {
             biased;
@@ -571,13 +535,7 @@
     fn handle_attempt_end(&mut self, event: ResumeEvent) -> Option<GenerationItem> {
         // A request that never arrived is not repeated, so it takes nothing from the retry budget.
         let has_arrived = event != ResumeEvent::NotConnected;
-        if let Some(starting) = self.starting.take()
-            && event.may_be_engine_loss()
-        {
-            let request_id = &self.req.caller.request_id;
-            let shared = &self.req.shared;
-            prompt_quarantine::record_loss(shared, request_id, &starting.engine, &self.parts);
-        }
+        self.record_attempt_end(event);
         // A suspected engine is left only with a retry that was taken from the budget.
         let needs_no_budget = !has_arrived || event.is_suspicion();
         let has_budget = needs_no_budget || self.req.shared.try_retry(&self.req.service);
