--- a/crates/cactusbarrow_policy/src/part_quarantine.rs
+++ b/crates/cactusbarrow_policy/src/part_quarantine.rs
@@ -421,17 +421,16 @@
         Some((first, events))
     }
 
+    fn begun_since(&self, service: ServiceId, first: Instant) -> u64 {
+        let intervals = self.begun.get(&service).into_iter().flatten();
+        let recent = intervals.filter(|(start, _)| *start >= first);
+        recent.map(|(_, count)| count).sum()
+    }
+
     /// Estimates the probability that an attempt at a sound prompt is lost, from all attempts at the
     /// service since `first`, at engines that did not end under the part.
     fn loss_probability(&self, part: PartId, service: ServiceId, first: Instant) -> f64 {
-        let begun: u64 = self
-            .begun
-            .get(&service)
-            .into_iter()
-            .flatten()
-            .filter(|(start, _)| *start >= first)
-            .map(|(_, count)| count)
-            .sum();
+        let begun = self.begun_since(service, first);
         // Without a response that began there is nothing to compare with, and chance explains all.
         if begun == 0 {
             return 1.0;
@@ -458,8 +457,15 @@
         is_unique: bool,
     ) -> Option<QuarantineVerdict> {
         let needed = self.cfg.odds.ln();
+        // Most parts are not lost often enough to look closer.
+        let is_frequent =
+            |events: usize| events as f64 * -self.cfg.min_loss_probability.ln() >= needed;
+        let (first, events) = self.events(part)?;
+        if !is_frequent(events) || self.begun_since(service, first) == 0 {
+            return None;
+        }
         let (first, events) = self.own_events(part)?;
-        if (events as f64) * -self.cfg.min_loss_probability.ln() < needed {
+        if !is_frequent(events) {
             return None;
         }
         let prompts: HashSet<_> = self.with_part(part).map(|loss| loss.parts.unique).collect();
