--- a/crates/cactusbarrow_gateway/tests/common/mod.rs
+++ b/crates/cactusbarrow_gateway/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Starts a store, backend servers and gateways on loopback.
 #![allow(dead_code, reason = "each test file uses some of the items")]
 
+pub(crate) mod cut_proxy;
+
 use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
@@ -110,7 +112,17 @@
 
     /// Starts a gateway on an address of the loopback network; `seed` is the address of a peer.
     pub(crate) async fn gateway(&self, ip: &str, base: u16, seed: &str) -> Gateway {
-        let yaml = settings_yaml(&format!("front-{ip}"), ip, base, seed, self.store.addr());
+        Self::gateway_with_store(ip, base, seed, self.store.addr()).await
+    }
+
+    /// Starts the same, with another address of the store.
+    pub(crate) async fn gateway_with_store(
+        ip: &str,
+        base: u16,
+        seed: &str,
+        store: SocketAddr,
+    ) -> Gateway {
+        let yaml = settings_yaml(&format!("front-{ip}"), ip, base, seed, store);
         let settings = parse_settings(&yaml).expect("settings are valid");
         let addr = settings.callers;
         let health = settings.health;
