--- a/crates/cactusbarrow_gateway/src/peers.rs
+++ b/crates/cactusbarrow_gateway/src/peers.rs
@@ -346,9 +346,17 @@
                 Err(e) => log::info!(step = e.step; "large configuration not read: {e}"),
             }
         }
-        match fetch_knowledge(&http, &shared, peer).await {
-            Ok(knowledge) => apply_knowledge(&shared, peer, knowledge),
-            Err(e) => log::info!(step = e.step; "knowledge not fetched from a peer: {e}"),
+        let asked_at = shared.now();
+        let result = fetch_knowledge(&http, &shared, peer).await;
+        let elapsed = shared.elapsed_since(asked_at);
+        metrics::histogram!("gateway_knowledge_seconds").record(elapsed.as_secs_f64());
+        match result {
+            Ok(knowledge) => apply_knowledge(&shared, peer, knowledge, elapsed),
+            Err(e) => log::info!(
+                step = e.step,
+                elapsed_ms = elapsed.as_millis() as u64;
+                "knowledge not fetched from a peer: {e}"
+            ),
         }
     }
 }
@@ -405,7 +413,12 @@
     GatewayKnowledge::decode(res.into_body()).map_err(|e| NetError::new(STEP, addr, e))
 }
 
-fn apply_knowledge<C: Clock>(shared: &Shared<C>, peer: Ipv4Addr, knowledge: GatewayKnowledge) {
+fn apply_knowledge<C: Clock>(
+    shared: &Shared<C>,
+    peer: Ipv4Addr,
+    knowledge: GatewayKnowledge,
+    elapsed: Duration,
+) {
     let position = position_from_wire(knowledge.store_era, knowledge.servers_revision);
     let own_position = shared.servers_position();
     if position <= own_position && knowledge.config.is_none() {
@@ -415,7 +428,8 @@
         peer:% = peer,
         position:% = position,
         own_position:% = own_position,
-        entries = knowledge.servers.len();
+        entries = knowledge.servers.len(),
+        elapsed_ms = elapsed.as_millis() as u64;
         "knowledge fetched from a peer"
     );
     let servers = knowledge.servers.into_iter();
