Do not take a gateway's own cut for an outage of the store

Callers were sent to backend servers that had left: on a grown deployment a request reached an engine 4.2 s after the store had removed its entry (bound 3 s).

Cause: after its own calls to the store had failed for 1.5 s, a gateway took each entry that vanished in the next 2 s for one that its owner may write again, and kept the server usable for another 1.8 s. One response with status 429 did the same. Peers took such entries over and began the time anew.

Change: gateways that watch the store state for how long they have watched it without an outage. A gateway keeps vanished entries only if no live peer in the same era has watched the store for longer than owners take to write entries again, and drops them as soon as one states so. The time ends 2 s after the earliest known return of the store, instead of beginning with each entry and each peer. The decision moved to cactusbarrow_policy (StoreAvailability).

Why it works: an outage of the store is one for all its watchers, and a gateway that watched through a time knows that removals in it were made by the store in service.

--- a/crates/cactusbarrow_gateway/src/backend_probes.rs
+++ b/crates/cactusbarrow_gateway/src/backend_probes.rs
@@ -42,9 +42,7 @@
                 }
             }
         }
-        for instance in shared.fleet().expire_missing(now) {
-            log::info!(instance = &*instance; "entry was not renewed after the store outage");
-        }
+        shared.expire_missing(now);
         shared.cancel_unreliable_tokens();
     }
 }
--- a/crates/cactusbarrow_gateway/src/peers.rs
+++ b/crates/cactusbarrow_gateway/src/peers.rs
@@ -154,6 +154,12 @@
             .as_millis()
             .try_into()
             .unwrap_or(u32::MAX),
+        watched_ms: shared
+            .store_health()
+            .watched_for(now)
+            .as_millis()
+            .try_into()
+            .unwrap_or(u32::MAX),
         prompts: shared
             .prompts()
             .own()
@@ -257,6 +263,7 @@
         begun: wire.retries.iter().map(begun_from_wire).collect(),
         is_store_ok: wire.is_store_ok,
         data_age: Duration::from_millis(wire.age_ms.into()),
+        watched_for: Duration::from_millis(wire.watched_ms.into()),
     };
     let (loads, begun) = {
         let mut peers = shared.peers();
@@ -438,6 +445,7 @@
         servers: servers.map(item_from_wire).collect(),
         listed: knowledge.instances.into_iter().collect(),
         missing: knowledge.missing,
+        missing_for: Duration::from_millis(knowledge.missing_ms.into()),
         position,
     };
     store_sync::apply_peer_data(shared, data, &peer);
@@ -513,12 +521,17 @@
     let is_config_newer = |item: &&KeyValue| {
         version > known.config_version || (version == known.config_version && is_newer(item))
     };
-    let (instances, missing) = {
+    let (instances, missing): (_, Vec<(String, Instant)>) = {
         let fleet = shared.fleet();
         let instances = fleet.instances().map(ToString::to_string).collect();
-        let missing = fleet.missing_instances().map(ToString::to_string).collect();
-        (instances, missing)
+        let missing = fleet.missing_instances();
+        let missing = missing.map(|(instance, until)| (instance.to_string(), until));
+        (instances, missing.collect())
     };
+    let now = shared.now();
+    let last_renewal = missing.iter().map(|(_, until)| *until).max();
+    let missing_for =
+        last_renewal.map_or(Duration::ZERO, |until| until.saturating_duration_since(now));
     let store_cache = shared.store_cache();
     let config = store_cache.config.as_ref().filter(is_config_newer);
     let servers = store_cache.servers().filter(is_newer);
@@ -528,7 +541,9 @@
         store_era: position.era.0,
         servers_revision: position.revision,
         instances,
-        missing,
+        missing: missing.into_iter().map(|(instance, _)| instance).collect(),
+        // Zero states no time.
+        missing_ms: missing_for.as_millis().clamp(1, u32::MAX.into()) as u32,
     }
 }
 
--- a/crates/cactusbarrow_gateway/src/shared.rs
+++ b/crates/cactusbarrow_gateway/src/shared.rs
@@ -12,8 +12,9 @@
     BackendFleet, BackendKey, FleetConfig, GenerationPace, KeyAgreement, LossCause, OperatorConfig,
     OperatorConfigCell, OriginConfig, OriginPages, PartQuarantine, PeerConfig, PeerTable,
     PromptLocationConfig, PromptLocations, QuarantineConfig, RetryCount, RetryLimits, RetryWindow,
-    Revision, ServiceId, ServiceName, Shutdown, ShutdownConfig, StoreEra, StorePosition,
-    StoreStatus, StoreWatchConfig, StreamOrigins, is_watcher, stable_hash, start_wait,
+    Revision, ServiceId, ServiceName, Shutdown, ShutdownConfig, StoreAvailability, StoreEra,
+    StorePosition, StoreStatus, StoreWatchConfig, StreamOrigins, is_watcher, stable_hash,
+    start_wait,
 };
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -22,7 +23,6 @@
 
 use crate::peers::{LoadChangeSignal, MAX_KNOWLEDGE_TRANSFERS};
 use crate::prompt_search::LastSearch;
-use crate::store_sync::StoreHealth;
 use crate::stream_origins::LastRead;
 
 /// Share of the platform's retry budget that the gateways use.
@@ -159,7 +159,7 @@
     load_change: LoadChangeSignal,
     /// Limits the number of peers that are sent this gateway's knowledge at once.
     knowledge_permits: Arc<Semaphore>,
-    store_health: Mutex<StoreHealth>,
+    store_health: Mutex<StoreAvailability>,
     shutdown: Mutex<Shutdown>,
     /// Cancelled shortly before the process exits.
     exit: CancellationToken,
@@ -387,10 +387,31 @@
         self.has_backend_list.store(true, Ordering::Relaxed);
     }
 
-    pub(crate) fn store_health(&self) -> MutexGuard<'_, StoreHealth> {
+    pub(crate) fn store_health(&self) -> MutexGuard<'_, StoreAvailability> {
         lock(&self.store_health)
     }
 
+    /// Returns until when entries that vanish now, in an era of the store, may be written again;
+    /// `None` if they are gone.
+    pub(crate) fn renewal_end(&self, era: StoreEra, now: Instant) -> Option<Instant> {
+        let peers_watched_for = self.peers().store_watched_for(era, now);
+        self.store_health().renewal_end(peers_watched_for, now)
+    }
+
+    /// Removes the backend servers whose entries vanished and were not written again in time.
+    pub(crate) fn expire_missing(&self, now: Instant) {
+        let era = self.servers_position().era;
+        let peers_watched_for = self.peers().store_watched_for(era, now);
+        let is_settled = self.store_health().is_settled(peers_watched_for, now);
+        for instance in self.fleet().expire_missing(is_settled, now) {
+            log::info!(
+                instance = &*instance,
+                is_settled = is_settled;
+                "entry was not renewed after the store outage"
+            );
+        }
+    }
+
     /// Returns whether this gateway is one of those that watch the store.
     pub(crate) fn is_watcher(&self, now: Instant) -> bool {
         let peers: Vec<StoreStatus> = self.peers().store_statuses(now).collect();
--- a/crates/cactusbarrow_gateway/src/store_sync.rs
+++ b/crates/cactusbarrow_gateway/src/store_sync.rs
@@ -38,68 +38,29 @@
 /// Interval at which a gateway that is no watcher calls a store that has failed it.
 const STORE_PROBE_INTERVAL: Duration = Duration::from_millis(2_000);
 
-/// Shortest store outage in which entries may expire although their owners are alive.
-const MIN_EXPIRY_OUTAGE: Duration = Duration::from_millis(1_500);
-
-/// Time after an outage or a restore of the store in which the owners of entries write them again.
-const ENTRY_RENEWAL_TIME: Duration = Duration::from_millis(2_000);
-
-/// Record of whether the store responds to this gateway, and of its last outage.
-#[derive(Debug, Default)]
-pub(crate) struct StoreHealth {
-    failing_since: Option<Instant>,
-    failures: u32,
-    recovering_until: Option<Instant>,
-    confirmed_at: Option<Instant>,
-}
-
-impl StoreHealth {
-    /// Returns whether the store responded to the last call; true if none was made.
-    pub(crate) fn is_ok(&self) -> bool {
-        self.failing_since.is_none()
-    }
-
-    /// Returns whether an outage ended, or the store returned to an older copy, so recently that
-    /// missing entries may still be written again.
-    pub(crate) fn is_recovering(&self, now: Instant) -> bool {
-        self.recovering_until.is_some_and(|until| now < until)
-    }
-
-    /// Returns when the store last confirmed this gateway's data.
-    pub(crate) fn confirmed_at(&self) -> Option<Instant> {
-        self.confirmed_at
-    }
-
-    /// Records that the store has returned to an older copy of its data.
-    fn record_restore(&mut self, now: Instant) {
-        self.recovering_until = Some(now + ENTRY_RENEWAL_TIME);
-    }
-
-    fn record_failure(&mut self, e: &StoreError, now: Instant) {
-        if self.failing_since.is_none() {
-            log::warn!(dependency = "store", step = e.step; "store lost: {e}");
-        }
-        metrics::counter!("gateway_store_failures_total", "step" => e.step).increment(1);
-        self.failing_since.get_or_insert(now);
-        self.failures += 1;
+/// Records a failed call to the store; returns the number of failures in a row.
+fn record_failure<C: Clock>(shared: &Shared<C>, e: &StoreError) -> u32 {
+    metrics::counter!("gateway_store_failures_total", "step" => e.step).increment(1);
+    let failures = shared.store_health().record_failure(shared.now());
+    if failures == 1 {
+        log::warn!(dependency = "store", step = e.step; "store lost: {e}");
     }
+    failures
+}
 
-    fn record_success(&mut self, now: Instant) {
-        self.confirmed_at = Some(now);
-        let Some(since) = self.failing_since.take() else {
-            return;
-        };
-        let outage = now.saturating_duration_since(since);
+fn record_success<C: Clock>(shared: &Shared<C>) {
+    let now = shared.now();
+    let ended = shared.store_health().record_success(now);
+    if let Some(ended) = ended {
+        let era = shared.servers_position().era;
+        let peers_watched_for = shared.peers().store_watched_for(era, now);
         log::info!(
             dependency = "store",
-            outage_ms = outage.as_millis() as u64,
-            failures = self.failures;
+            outage_ms = ended.duration.as_millis() as u64,
+            peers_watched_ms = peers_watched_for.as_millis() as u64,
+            failures = ended.failures;
             "store regained"
         );
-        self.failures = 0;
-        if outage >= MIN_EXPIRY_OUTAGE {
-            self.recovering_until = Some(now + ENTRY_RENEWAL_TIME);
-        }
     }
 }
 
@@ -122,6 +83,9 @@
             log::info!(watches = is_watcher, position:% = shared.servers_position(); "store watcher role changed");
             was_watcher = is_watcher;
         }
+        if !is_watcher {
+            shared.store_health().record_watch_end();
+        }
         let is_probe_due =
             !shared.store_health().is_ok() && now >= last_call_at + STORE_PROBE_INTERVAL;
         if !is_watcher && !is_probe_due {
@@ -134,11 +98,7 @@
             Ok(true) => tokio::time::sleep(WATCH_BATCH_DELAY).await,
             Ok(false) => {}
             Err(e) => {
-                let failures = {
-                    let mut store_health = shared.store_health();
-                    store_health.record_failure(&e, shared.now());
-                    store_health.failures
-                };
+                let failures = record_failure(&shared, &e);
                 let wait = RETRY_BACKOFF.delay(failures, &mut *shared.rng());
                 tokio::time::sleep(wait).await;
             }
@@ -151,7 +111,7 @@
     let Some(after) = shared.store_cache().watch_after() else {
         let known_era = shared.servers_position().era;
         let snapshot = store.read_all(ALL_KEYS, known_era).await?;
-        shared.store_health().record_success(shared.now());
+        record_success(shared);
         apply_snapshot(shared, snapshot);
         return Ok(false);
     };
@@ -163,7 +123,7 @@
         Duration::ZERO
     };
     let result = store.watch(ALL_KEYS, after, wait).await?;
-    shared.store_health().record_success(shared.now());
+    record_success(shared);
     match result {
         WatchOutcome::HistoryExpired => {
             log::info!(position:% = after; "store dropped its history");
@@ -216,7 +176,8 @@
             .iter()
             .filter_map(|item| item.key.strip_prefix(SERVERS_PREFIX))
             .collect();
-        remove_unlisted(shared, |instance| listed.contains(instance));
+        let renewal_end = shared.renewal_end(position.era, shared.now());
+        remove_unlisted(shared, renewal_end, |instance| listed.contains(instance));
     }
     for item in snapshot.items {
         if item.key == CONFIG_KEY || !(is_outdated || is_replaced(shared, &item)) {
@@ -238,6 +199,8 @@
     pub(crate) listed: HashSet<String>,
     /// Those of them whose entries vanished and may be written again.
     pub(crate) missing: Vec<String>,
+    /// Time for which they may be, as the peer states; zero if it states none.
+    pub(crate) missing_for: Duration,
     /// Store position up to which the peer knows the list.
     pub(crate) position: StorePosition,
 }
@@ -256,9 +219,18 @@
         return;
     }
     record_era(shared, data.position, source);
-    remove_unlisted(shared, |instance| data.listed.contains(instance));
+    let renewal_end = shared.renewal_end(data.position.era, shared.now());
+    remove_unlisted(shared, renewal_end, |instance| {
+        data.listed.contains(instance)
+    });
+    let now = shared.now();
+    let peers_watched_for = shared.peers().store_watched_for(data.position.era, now);
+    let renewal_end =
+        shared
+            .store_health()
+            .peer_renewal_end(data.missing_for, peers_watched_for, now);
     for instance in &data.missing {
-        record_missing(shared, instance);
+        remove_backend(shared, instance, renewal_end);
     }
     for item in data.servers {
         apply_key_value(shared, item, source);
@@ -301,14 +273,20 @@
     is_replaced
 }
 
-fn remove_unlisted<C: Clock>(shared: &Shared<C>, is_listed: impl Fn(&str) -> bool) {
+/// Removes the backend servers that a list does not have; they stay usable until `renewal_end`, if
+/// their entries may be written again until then.
+fn remove_unlisted<C: Clock>(
+    shared: &Shared<C>,
+    renewal_end: Option<Instant>,
+    is_listed: impl Fn(&str) -> bool,
+) {
     let unlisted: Vec<Arc<str>> = {
         let fleet = shared.fleet();
         let unlisted = fleet.instances().filter(|instance| !is_listed(instance));
         unlisted.cloned().collect()
     };
     for instance in unlisted {
-        remove_backend(shared, &instance);
+        remove_backend(shared, &instance, renewal_end);
     }
     // Entries that describe no usable backend server are not in the fleet.
     let mut store_cache = shared.store_cache();
@@ -335,7 +313,8 @@
         }
         Change::Deleted { key, position } if position > known => {
             if let Some(instance) = key.strip_prefix(SERVERS_PREFIX) {
-                remove_backend(shared, instance);
+                let renewal_end = shared.renewal_end(position.era, shared.now());
+                remove_backend(shared, instance, renewal_end);
             }
         }
         Change::Put(_) | Change::Deleted { .. } => {}
@@ -417,9 +396,11 @@
     }
 }
 
-fn remove_backend<C: Clock>(shared: &Shared<C>, instance: &str) {
-    if shared.store_health().is_recovering(shared.now()) {
-        record_missing(shared, instance);
+/// Removes a backend server whose entry vanished; it stays usable until `renewal_end`, if its entry
+/// may be written again until then.
+fn remove_backend<C: Clock>(shared: &Shared<C>, instance: &str, renewal_end: Option<Instant>) {
+    if let Some(until) = renewal_end {
+        record_missing(shared, instance, until);
         return;
     }
     shared.record_software(instance);
@@ -431,12 +412,12 @@
     }
 }
 
-fn record_missing<C: Clock>(shared: &Shared<C>, instance: &str) {
+fn record_missing<C: Clock>(shared: &Shared<C>, instance: &str, until: Instant) {
     shared.record_software(instance);
     shared
         .store_cache()
         .record_missing_server(&server_key(instance));
-    let is_changed = shared.fleet().record_missing(instance, shared.now());
+    let is_changed = shared.fleet().record_missing(instance, until);
     if is_changed {
         log_removal(instance, true);
     }
--- a/crates/cactusbarrow_policy/src/backend_fleet.rs
+++ b/crates/cactusbarrow_policy/src/backend_fleet.rs
@@ -220,10 +220,9 @@
 
     /// Records that an entry vanished during a store outage or with a restore of the store.
     ///
-    /// The instance stays usable for [`FleetConfig::missing_grace`], because the owners of such
-    /// entries write them again shortly afterwards. Returns whether it was listed as ready.
-    pub fn record_missing(&mut self, instance: &str, now: Instant) -> bool {
-        let until = now + self.cfg.missing_grace;
+    /// The instance stays usable until `until`, because the owners of such entries write them again
+    /// shortly afterwards. Returns whether it was listed as ready.
+    pub fn record_missing(&mut self, instance: &str, until: Instant) -> bool {
         let key = self.by_instance.get(instance);
         let Some(backend) = key.and_then(|key| self.backends.get_mut(*key)) else {
             return false;
@@ -240,26 +239,22 @@
         self.by_instance.keys()
     }
 
-    /// Returns the instances whose entries are missing and may be written again.
-    pub fn missing_instances(&self) -> impl Iterator<Item = &Arc<str>> {
-        let is_missing = |b: &Backend| matches!(b.listing, Listing::Missing { .. });
-        self.by_instance
-            .iter()
-            .filter(move |(_, key)| self.backends.get(**key).is_some_and(is_missing))
-            .map(|(instance, _)| instance)
+    /// Returns the instances whose entries are missing, and until when they may be written again.
+    pub fn missing_instances(&self) -> impl Iterator<Item = (&Arc<str>, Instant)> {
+        self.by_instance.iter().filter_map(|(instance, key)| {
+            let Listing::Missing { until } = self.backends.get(*key)?.listing else {
+                return None;
+            };
+            Some((instance, until))
+        })
     }
 
-    /// Removes entries that have been missing for [`FleetConfig::missing_grace`]; returns their
-    /// instances.
-    pub fn expire_missing(&mut self, now: Instant) -> Vec<Arc<str>> {
-        let is_expired = |key: &BackendKey| {
-            let backend = self.backends.get(*key);
-            backend.is_some_and(|b| matches!(b.listing, Listing::Missing { until } if until <= now))
-        };
+    /// Removes entries that are missing and were not written again in time, or all missing ones if
+    /// vanished entries are known to be gone; returns their instances.
+    pub fn expire_missing(&mut self, is_settled: bool, now: Instant) -> Vec<Arc<str>> {
         let expired: Vec<Arc<str>> = self
-            .by_instance
-            .iter()
-            .filter(|(_, key)| is_expired(key))
+            .missing_instances()
+            .filter(|(_, until)| is_settled || *until <= now)
             .map(|(instance, _)| instance.clone())
             .collect();
         for instance in &expired {
--- a/crates/cactusbarrow_policy/src/fleet_config.rs
+++ b/crates/cactusbarrow_policy/src/fleet_config.rs
@@ -19,8 +19,6 @@
     pub silent_recheck_delay: Duration,
     /// Silence after which a lost backend server is considered gone instead of suspected.
     pub gone_after: Duration,
-    /// How long an entry that vanished during an outage or a restore of the store stays usable.
-    pub missing_grace: Duration,
     /// Cost of a running generation, in unread prompt tokens.
     pub running_cost: u64,
     /// Cost of a zone in which several backend servers were lost recently, in prompt tokens.
@@ -56,7 +54,6 @@
             unreachable_recheck_delay: Duration::from_millis(500),
             silent_recheck_delay: Duration::from_millis(1_000),
             gone_after: Duration::from_millis(3_600),
-            missing_grace: Duration::from_millis(1_800),
             running_cost: 4_000,
             zone_loss_cost: 20_000,
             copy_cost_step: 8_000,
--- a/crates/cactusbarrow_policy/src/lib.rs
+++ b/crates/cactusbarrow_policy/src/lib.rs
@@ -47,6 +47,7 @@
 mod shutdown;
 mod software;
 mod start_wait;
+mod store_availability;
 mod store_position;
 mod store_watch;
 mod stream_origins;
@@ -103,6 +104,7 @@
 pub use shutdown::{Shutdown, ShutdownConfig};
 pub use software::{SoftwareId, SoftwareVersion};
 pub use start_wait::start_wait;
+pub use store_availability::{EndedOutage, StoreAvailability, StoreAvailabilityConfig};
 pub use store_position::{StoreEra, StorePosition};
 pub use store_watch::{StoreStatus, StoreWatchConfig, is_watcher};
 pub use stream_origins::{
--- a/crates/cactusbarrow_policy/src/peer_table.rs
+++ b/crates/cactusbarrow_policy/src/peer_table.rs
@@ -12,7 +12,7 @@
 
 use crate::hash::{rendezvous_weight, stable_hash};
 use crate::retry_window::RetryCount;
-use crate::store_position::StorePosition;
+use crate::store_position::{StoreEra, StorePosition};
 use crate::store_watch::StoreStatus;
 use crate::stream_origins::ServiceId;
 
@@ -83,6 +83,8 @@
     pub is_store_ok: bool,
     /// Time since the store confirmed the peer's data.
     pub data_age: Duration,
+    /// Time for which the peer has watched the store without an outage; zero if it does not watch.
+    pub watched_for: Duration,
 }
 
 #[derive(Clone, Debug)]
@@ -304,6 +306,19 @@
         })
     }
 
+    /// Returns the longest time for which a live peer has watched the store without an outage; zero if
+    /// none does. Peers that may not have noticed the beginning of `era` are left out.
+    pub fn store_watched_for(&self, era: StoreEra, now: Instant) -> Duration {
+        let watchers = self.live_entries(now).filter(|(_, peer)| {
+            let heartbeat = &peer.heartbeat;
+            !heartbeat.watched_for.is_zero() && heartbeat.servers_position.era >= era
+        });
+        let watched_for = watchers.map(|(_, peer)| {
+            peer.heartbeat.watched_for + now.saturating_duration_since(peer.last_heartbeat)
+        });
+        watched_for.max().unwrap_or_default()
+    }
+
     /// Returns the shortest time since the store confirmed a peer's data, among the live peers
     /// whose list of backend servers is no newer than `position`.
     pub fn min_data_age(&self, position: StorePosition, now: Instant) -> Option<Duration> {
--- a/crates/cactusbarrow_policy/tests/backend_fleet.rs
+++ b/crates/cactusbarrow_policy/tests/backend_fleet.rs
@@ -22,6 +22,9 @@
     memory_tokens: 6_500,
 };
 
+/// Time for which entries that vanished stay usable.
+const GRACE: Duration = Duration::from_millis(1_800);
+
 fn entry(i: usize, zones: usize) -> BackendEntry {
     BackendEntry {
         instance: format!("i-{i}").into(),
@@ -93,21 +96,20 @@
 #[test]
 fn entry_lost_in_store_outage_stays_usable_for_grace_period() {
     let now = Instant::now();
-    let grace = FleetConfig::default().missing_grace;
     let mut fleet = fleet(1, 1, now);
     assert_eq!(fleet.missing_instances().count(), 0);
-    assert!(fleet.record_missing("i-0", now));
+    assert!(fleet.record_missing("i-0", now + GRACE));
     assert_eq!(fleet.missing_instances().count(), 1);
     assert!(choose(&fleet, now, &mut rng(0)).is_some());
     assert_eq!(
-        choose(&fleet, now + grace, &mut rng(0)),
+        choose(&fleet, now + GRACE, &mut rng(0)),
         None,
         "the grace period is over"
     );
-    assert_eq!(fleet.expire_missing(now + grace).len(), 1);
-    fleet.record_entry(entry(0, 1), now + grace);
+    assert_eq!(fleet.expire_missing(false, now + GRACE).len(), 1);
+    fleet.record_entry(entry(0, 1), now + GRACE);
     assert!(
-        choose(&fleet, now + grace, &mut rng(0)).is_some(),
+        choose(&fleet, now + GRACE, &mut rng(0)).is_some(),
         "it is listed again"
     );
 }
@@ -145,7 +147,7 @@
         };
         let engine = fleet.key_of("i-0").expect("it is listed");
         if is_missing {
-            fleet.record_missing("i-0", now);
+            fleet.record_missing("i-0", now + GRACE);
         }
         fleet.record_entry(predecessor, now);
         fleet.record_entry(entry(0, 1), now);
@@ -484,7 +486,7 @@
                     is_usable[i] = false;
                 }
                 Op::Missing(i) => {
-                    fleet.record_missing(&format!("i-{i}"), now);
+                    fleet.record_missing(&format!("i-{i}"), now + GRACE);
                 }
                 Op::Lose | Op::Start => {
                     if let Some(key) = choose(&fleet, now, &mut rng) {
@@ -499,7 +501,7 @@
                 }
                 Op::Wait(ms) => {
                     now += Duration::from_millis(ms);
-                    for expired in fleet.expire_missing(now) {
+                    for expired in fleet.expire_missing(false, now) {
                         let i: usize = expired[2..].parse().expect("names end in a number");
                         is_usable[i] = false;
                     }
--- a/crates/cactusbarrow_policy/tests/gateways.rs
+++ b/crates/cactusbarrow_policy/tests/gateways.rs
@@ -227,3 +227,28 @@
     targets.sort_unstable();
     assert_eq!(targets, [ip(1), ip(2)]);
 }
+
+/// Guards against removals that are taken for final because a peer vouches for the store that has not
+/// noticed its return to an older copy, or that has fallen silent.
+#[test]
+fn only_live_peers_in_the_same_era_vouch_for_the_store() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut table = PeerTable::new(PeerConfig::default(), ip(0), &[]);
+    for (i, era, watched_ms) in [(1, 1, 60_000), (2, 2, 400), (3, 2, 0)] {
+        let heartbeat = PeerHeartbeat {
+            servers_position: StorePosition {
+                era: StoreEra(era),
+                revision: 7,
+            },
+            watched_for: Duration::from_millis(watched_ms),
+            ..PeerHeartbeat::default()
+        };
+        assert!(table.record(ip(i), heartbeat, start));
+    }
+    let watched_ms = |era, ms| table.store_watched_for(StoreEra(era), at(ms)).as_millis();
+    assert_eq!(watched_ms(1, 100), 60_100);
+    assert_eq!(watched_ms(2, 100), 500);
+    assert_eq!(watched_ms(3, 100), 0);
+    assert_eq!(watched_ms(1, 1_500), 0, "no heartbeat for too long");
+}
--- a/crates/cactusbarrow_policy/tests/server_departures.rs
+++ b/crates/cactusbarrow_policy/tests/server_departures.rs
@@ -72,10 +72,10 @@
             fleet.remove_instance("app-0");
         }
         Change::Missing => {
-            fleet.record_missing("app-0", now);
+            fleet.record_missing("app-0", now + Duration::from_secs(2));
         }
         Change::Expired => {
-            fleet.expire_missing(now + Duration::from_secs(5));
+            fleet.expire_missing(false, now + Duration::from_secs(5));
         }
     }
 }
