Check entries that a peer sends against those known to be replaced

Callers of a gateway were sent to a server whose departure that gateway had applied itself.

Cause: a gateway remembers entries that were replaced or removed, and skips them when the store returns from an older copy, but took them back from a peer that had read only that copy, for example one that started after the restore. Change: data of peers pass the same check as the store's. Why it works: the check compares key, revision and value of the write, so only the very write that was replaced is skipped; a server that registers again writes a new entry.

--- a/crates/cactusbarrow_gateway/src/store_sync.rs
+++ b/crates/cactusbarrow_gateway/src/store_sync.rs
@@ -233,7 +233,9 @@
         remove_backend(shared, instance, renewal_end);
     }
     for item in data.servers {
-        apply_key_value(shared, item, source);
+        if !is_replaced(shared, &item) {
+            apply_key_value(shared, item, source);
+        }
     }
     shared.store_cache().advance(data.position, true);
     shared.record_backend_list_read();
@@ -264,7 +266,7 @@
     shared.quarantine_signal().request_rewrite();
 }
 
-/// Returns whether an entry from the store is older than what this gateway knows of its owner.
+/// Returns whether an entry from the store or a peer is older than what this gateway knows of its owner.
 fn is_replaced<C: Clock>(shared: &Shared<C>, item: &KeyValue) -> bool {
     let is_replaced = shared.store_cache().is_replaced(item);
     if is_replaced {
