Remember each departure apart from the server's entry, whoever told it

Callers were sent to servers that were leaving, after the store listed them again: from a writer that is behind, from an older copy, or after the entry had gone and come back.

Cause: only a departure that a server announced in a response outlasted its entry. A drain that the store listed lasted until the next entry of the same incarnation, and an announcement in a response that came after the entry was removed was dropped, because it was recorded by the server's key. Change: one record of departures by incarnation, which responses, peers and the list write, and which no later entry of that incarnation takes back. It is bounded (1,024, one hour) as before; a new incarnation starts free. Whether the server announced the departure to this gateway is kept apart: only then are probes and orders for its running work withheld, as before. Why it works: a server reports a drain only before it ends, so the state is final for its incarnation; a removal alone is not, because entries also expire while their owners live, and stays undone by a new entry.

The other tests of departures pass unchanged but for the argument of record_departure, which is the entry instead of the key; all sound engines are still drawn for searches.

--- a/crates/cactusbarrow_gateway/src/backend_probes.rs
+++ b/crates/cactusbarrow_gateway/src/backend_probes.rs
@@ -48,21 +48,21 @@
 }
 
 async fn probe<C: Clock>(shared: Arc<Shared<C>>, key: BackendKey) {
-    let Some(address) = shared.fleet().get(key).map(|b| b.entry.address) else {
+    let Some(entry) = shared.fleet().get(key).map(|b| b.entry.clone()) else {
         return;
     };
     metrics::counter!("gateway_probes_total").increment(1);
     let sent_at = shared.now();
     let exchange = async {
-        let conn = BackendConnection::open(address, EXCHANGE_TIMEOUT).await?;
-        let req = report_request(&address.to_string());
+        let conn = BackendConnection::open(entry.address, EXCHANGE_TIMEOUT).await?;
+        let req = report_request(&entry.address.to_string());
         conn.send("ask for report", req).await
     };
     let result = tokio::time::timeout(EXCHANGE_TIMEOUT, exchange).await;
     match result {
         Ok(Ok(res)) => {
             let notice = decode_server_notice(res.head.status, &res.head.headers);
-            shared.record_notice(key, notice, sent_at);
+            shared.record_notice((key, &entry), notice, sent_at);
             shared.fleet().record_report(key, shared.now());
         }
         Ok(Err(e)) => record_probe_failure(&shared, key, &e),
@@ -98,7 +98,7 @@
     match decode_instance(&head.headers) {
         Some(instance) if instance == *entry.instance => {
             let notice = decode_server_notice(head.status, &head.headers);
-            shared.record_notice(key, notice, sent_at);
+            shared.record_notice((key, &entry), notice, sent_at);
             shared.record_alive(key);
         }
         Some(_) => shared.record_loss(key, LossCause::Replaced, "ask for identity"),
--- a/crates/cactusbarrow_gateway/src/generation/copy_manager.rs
+++ b/crates/cactusbarrow_gateway/src/generation/copy_manager.rs
@@ -316,7 +316,7 @@
         let sent_at = shared.now();
         let (head, body, _driver) = conn.send(STEP, req).await?.into_parts();
         let notice = decode_server_notice(head.status, &head.headers);
-        shared.record_notice(key, notice, sent_at);
+        shared.record_notice((key, &engine), notice, sent_at);
         if head.status != StatusCode::OK {
             let status = format!("status {}", head.status);
             return Err(NetError::new(STEP, engine.address, status));
--- a/crates/cactusbarrow_gateway/src/server_notices.rs
+++ b/crates/cactusbarrow_gateway/src/server_notices.rs
@@ -4,7 +4,7 @@
 
 use cactusbarrow_adapter::ServerNotice;
 use cactusbarrow_net::Clock;
-use cactusbarrow_policy::{Backend, BackendEntry, BackendKey, DepartureId};
+use cactusbarrow_policy::{BackendEntry, BackendKey, DepartureId};
 use cactusbarrow_protocol::generated::GatewayHeartbeat;
 
 use crate::request::AdmittedRequest;
@@ -14,35 +14,25 @@
 const MAX_HEARTBEAT_DEPARTURES: usize = 16;
 
 impl<C: Clock> Shared<C> {
-    /// Records what a backend server states about itself in the response to a request that was sent
-    /// at `sent_at`.
-    pub(crate) fn record_notice(&self, key: BackendKey, notice: ServerNotice, sent_at: Instant) {
+    /// Records what the backend server that registered `entry` states about itself in the response to
+    /// a request that was sent at `sent_at`; the entry may be gone.
+    pub(crate) fn record_notice(
+        &self,
+        (key, entry): (BackendKey, &BackendEntry),
+        notice: ServerNotice,
+        sent_at: Instant,
+    ) {
         match notice.retry_after {
             Some(wait) => self.record_backoff(key, wait),
             None => self.fleet().record_response(key, sent_at),
         }
-        if notice.is_leaving && self.fleet().record_departure(key, self.now()) {
-            self.handle_departure(key, "response");
-        }
+        self.record_announcement(entry, notice);
     }
 
-    /// Records what the backend server that registered this entry states about itself, unless another
-    /// incarnation has taken its place.
-    pub(crate) fn record_notice_of(
-        &self,
-        entry: &BackendEntry,
-        notice: ServerNotice,
-        sent_at: Instant,
-    ) {
-        let key = {
-            let fleet = self.fleet();
-            let key = fleet.key_of(&entry.instance);
-            let is_same =
-                |b: &Backend| DepartureId::of_entry(&b.entry) == DepartureId::of_entry(entry);
-            key.filter(|key| fleet.get(*key).is_some_and(is_same))
-        };
-        if let Some(key) = key {
-            self.record_notice(key, notice, sent_at);
+    /// Records whether the backend server that registered `entry` announces its departure.
+    pub(crate) fn record_announcement(&self, entry: &BackendEntry, notice: ServerNotice) {
+        if notice.is_leaving && self.fleet().record_departure(entry, self.now()) {
+            self.handle_departure(entry, "response");
         }
     }
 
@@ -72,25 +62,25 @@
     /// Records the departures that a peer reports.
     pub(crate) fn record_peer_departures(&self, departures: &[u64]) {
         for id in departures {
-            let key = self
-                .fleet()
-                .record_peer_departure(DepartureId(*id), self.now());
-            if let Some(key) = key {
-                self.handle_departure(key, "peer");
+            let entry = {
+                let mut fleet = self.fleet();
+                let key = fleet.record_peer_departure(DepartureId(*id), self.now());
+                key.and_then(|key| fleet.get(key)).map(|b| b.entry.clone())
+            };
+            if let Some(entry) = entry {
+                self.handle_departure(&entry, "peer");
             }
         }
     }
 
     /// Logs a departure and has copies made elsewhere.
-    fn handle_departure(&self, key: BackendKey, source: &'static str) {
-        if let Some(backend) = self.fleet().get(key) {
-            log::info!(
-                instance = &*backend.entry.instance,
-                peer:% = backend.entry.address,
-                source = source;
-                "backend server announced that it is leaving"
-            );
-        }
+    fn handle_departure(&self, entry: &BackendEntry, source: &'static str) {
+        log::info!(
+            instance = &*entry.instance,
+            peer:% = entry.address,
+            source = source;
+            "backend server announced that it is leaving"
+        );
         metrics::counter!("gateway_departures_total", "source" => source).increment(1);
         self.cancel_unreliable_tokens();
         self.load_change().notify();
--- a/crates/cactusbarrow_policy/src/backend.rs
+++ b/crates/cactusbarrow_policy/src/backend.rs
@@ -131,7 +131,7 @@
     pub(crate) failures: FailureRate,
     pub(crate) request_limit: Option<RequestLimit>,
     pub(crate) backoff: Option<ServerBackoff>,
-    /// When it became known that it announced its departure.
+    /// When it announced its departure to this gateway.
     pub(crate) left_at: Option<Instant>,
 }
 
--- a/crates/cactusbarrow_policy/src/backend_fleet.rs
+++ b/crates/cactusbarrow_policy/src/backend_fleet.rs
@@ -134,12 +134,12 @@
         count: usize,
         now: Instant,
         rng: &mut impl Rng,
-    ) -> Vec<BackendEntry> {
+    ) -> Vec<(BackendKey, BackendEntry)> {
         self.backends
-            .values()
-            .filter(|b| &*b.entry.service == service && b.tier(now) == Some(0))
-            .filter(|b| !b.is_backing_off(now))
-            .map(|b| b.entry.clone())
+            .iter()
+            .filter(|(_, b)| &*b.entry.service == service && b.tier(now) == Some(0))
+            .filter(|(_, b)| !b.is_backing_off(now))
+            .map(|(key, b)| (key, b.entry.clone()))
             .sample(rng, count)
     }
 
@@ -151,8 +151,11 @@
 
     /// Inserts or updates the entry of an instance; returns whether its state changed.
     pub fn record_entry(&mut self, entry: BackendEntry, now: Instant) -> bool {
-        let has_left = self.departures.contains(DepartureId::of_entry(&entry));
-        let listing = if entry.is_draining || has_left {
+        let departure = DepartureId::of_entry(&entry);
+        if entry.is_draining {
+            self.departures.record_listed(departure, now);
+        }
+        let listing = if self.departures.contains(departure) {
             Listing::Leaving
         } else {
             Listing::Ready
@@ -163,7 +166,8 @@
             && backend.entry.address == entry.address
             && backend.entry.software == entry.software
         {
-            let listing = if backend.left_at.is_some() {
+            // The record of its departure may have made room for newer ones.
+            let listing = if backend.listing == Listing::Leaving {
                 Listing::Leaving
             } else {
                 listing
@@ -180,7 +184,7 @@
         self.contest_address(entry.address, now);
         let instance = entry.instance.clone();
         let mut backend = Backend::new(entry, listing, now);
-        backend.left_at = has_left.then_some(now);
+        backend.left_at = self.departures.announced_at(departure);
         let key = self.backends.insert(backend);
         self.by_instance.insert(instance, key);
         true
--- a/crates/cactusbarrow_policy/src/server_departure.rs
+++ b/crates/cactusbarrow_policy/src/server_departure.rs
@@ -1,7 +1,8 @@
-//! Backend servers that announced in a response that they are leaving.
+//! Backend servers that are leaving, as they announced in a response or as the store listed them.
 //!
 //! Load pattern: servers are taken away while the store is unavailable or returns to an older copy, so
 //! its list states them as ready, and each gateway learns of a departure only from responses and peers.
+//! A departure is final for its incarnation, so it is remembered apart from the server's entry.
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -40,8 +41,26 @@
 #[derive(Clone, Copy, Debug)]
 struct Departure {
     noticed_at: Instant,
-    /// Whether this gateway received the announcement itself.
-    is_own: bool,
+    /// When the server first announced it to this gateway, if it did.
+    announced_at: Option<Instant>,
+}
+
+impl Departure {
+    /// Creates a departure that the store's list or a peer states.
+    fn reported(now: Instant) -> Self {
+        Self {
+            noticed_at: now,
+            announced_at: None,
+        }
+    }
+
+    /// Creates a departure that the server announced to this gateway.
+    fn announced(now: Instant) -> Self {
+        Self {
+            noticed_at: now,
+            announced_at: Some(now),
+        }
+    }
 }
 
 /// Departures of backend servers, which outlast their entries.
@@ -55,10 +74,20 @@
         self.noticed.contains_key(&id)
     }
 
+    /// Returns when a server announced its departure to this gateway, if it did.
+    pub(crate) fn announced_at(&self, id: DepartureId) -> Option<Instant> {
+        self.noticed.get(&id)?.announced_at
+    }
+
+    /// Records that the store lists a server as draining.
+    pub(crate) fn record_listed(&mut self, id: DepartureId, now: Instant) {
+        self.record(id, Departure::reported(now));
+    }
+
     /// Records a departure; returns whether it was unknown.
     fn record(&mut self, id: DepartureId, departure: Departure) -> bool {
         if let Some(known) = self.noticed.get_mut(&id) {
-            known.is_own |= departure.is_own;
+            known.announced_at = known.announced_at.or(departure.announced_at);
             return false;
         }
         self.make_room(departure.noticed_at);
@@ -92,41 +121,34 @@
 }
 
 impl BackendFleet {
-    /// Records that a backend server announced that it is leaving; returns whether that is new.
+    /// Records that the backend server that registered this entry announced that it is leaving, even if
+    /// the entry is gone; returns whether that is new.
     ///
     /// Its running work goes on. It gets no new work, whatever the store lists, until another
     /// incarnation registers.
-    pub fn record_departure(&mut self, key: BackendKey, now: Instant) -> bool {
-        let Some(backend) = self.backends.get(key) else {
-            return false;
-        };
-        let departure = Departure {
-            noticed_at: now,
-            is_own: true,
-        };
-        let id = DepartureId::of_entry(&backend.entry);
-        self.departures.record(id, departure);
-        self.mark_leaving(key, now)
+    pub fn record_departure(&mut self, entry: &BackendEntry, now: Instant) -> bool {
+        let id = DepartureId::of_entry(entry);
+        let is_new = self.departures.announced_at(id).is_none();
+        if is_new {
+            self.departures.record(id, Departure::announced(now));
+            self.mark_leaving(id);
+        }
+        is_new
     }
 
     /// Records a departure that a peer observed; returns the backend server if it was in use.
     pub fn record_peer_departure(&mut self, id: DepartureId, now: Instant) -> Option<BackendKey> {
-        let departure = Departure {
-            noticed_at: now,
-            is_own: false,
-        };
-        if !self.departures.record(id, departure) {
+        if !self.departures.record(id, Departure::reported(now)) {
             return None;
         }
-        let is_reported = |(_, b): &(BackendKey, &Backend)| DepartureId::of_entry(&b.entry) == id;
-        let (key, _) = self.backends.iter().find(is_reported)?;
-        self.mark_leaving(key, now).then_some(key)
+        self.mark_leaving(id)
     }
 
     /// Returns the departures that this gateway observed and reports to its peers, newest first.
     pub fn own_departures(&self, now: Instant) -> Vec<DepartureId> {
         let is_recent = |departure: &Departure| {
-            departure.is_own && now.saturating_duration_since(departure.noticed_at) < REPORT_TIME
+            let announced_at = departure.announced_at;
+            announced_at.is_some_and(|at| now.saturating_duration_since(at) < REPORT_TIME)
         };
         let mut recent: Vec<(Instant, DepartureId)> = self
             .departures
@@ -145,20 +167,22 @@
         backend.is_some_and(|backend| backend.accepts_orders(now))
     }
 
-    /// Gives a backend server no new work from now on; returns whether it had not announced its
-    /// departure before.
-    fn mark_leaving(&mut self, key: BackendKey, now: Instant) -> bool {
-        let Some(backend) = self.backends.get_mut(key) else {
-            return false;
-        };
-        if backend.left_at.is_some() {
-            return false;
-        }
-        backend.left_at = Some(now);
-        if backend.listing != Listing::Leaving {
-            backend.listing = Listing::Leaving;
-            self.unreliable.push(key);
+    /// Gives the backend servers of a departed incarnation no new work from now on; returns one that
+    /// was in use until now.
+    fn mark_leaving(&mut self, id: DepartureId) -> Option<BackendKey> {
+        let announced_at = self.departures.announced_at(id);
+        let mut last_used = None;
+        for (key, backend) in &mut self.backends {
+            if DepartureId::of_entry(&backend.entry) != id {
+                continue;
+            }
+            backend.left_at = announced_at;
+            if backend.listing != Listing::Leaving {
+                backend.listing = Listing::Leaving;
+                self.unreliable.push(key);
+                last_used = Some(key);
+            }
         }
-        true
+        last_used
     }
 }
--- a/crates/cactusbarrow_policy/tests/server_backoff.rs
+++ b/crates/cactusbarrow_policy/tests/server_backoff.rs
@@ -248,7 +248,7 @@
     fleet.record_backoff(keys[0], Duration::from_secs(20), now);
     fleet.record_backoff(keys[1], Duration::from_secs(4), now);
     assert_eq!(wait(&fleet, now), None, "one server takes requests");
-    let departed = fleet.record_departure(keys[2], now);
+    let departed = fleet.record_departure(&entry(2, 1), now);
     assert!(departed);
     let told = wait(&fleet, now).expect("no server takes requests");
     assert!((4.0..=5.0).contains(&told.as_secs_f64()), "{told:?}");
--- a/crates/cactusbarrow_policy/tests/server_departures.rs
+++ b/crates/cactusbarrow_policy/tests/server_departures.rs
@@ -101,8 +101,7 @@
             let id = DepartureId::of_entry(&entry(0, 1, false));
             prop_assert!(fleet.record_peer_departure(id, now).is_some());
         } else {
-            let key = fleet.key_of("app-0").expect("the entry is listed");
-            prop_assert!(fleet.record_departure(key, now));
+            prop_assert!(fleet.record_departure(&entry(0, 1, false), now));
         }
         for change in changes {
             apply(&mut fleet, change, now);
@@ -113,6 +112,69 @@
     }
 }
 
+/// Ways in which a gateway learns of a departure.
+#[derive(Clone, Copy, Debug)]
+enum Source {
+    Response,
+    Peer,
+    List,
+}
+
+fn learn(fleet: &mut BackendFleet, source: Source, now: Instant) {
+    match source {
+        Source::Response => {
+            fleet.record_departure(&entry(0, 1, false), now);
+        }
+        Source::Peer => {
+            let id = DepartureId::of_entry(&entry(0, 1, false));
+            fleet.record_peer_departure(id, now);
+        }
+        Source::List => {
+            fleet.record_entry(entry(0, 1, true), now);
+        }
+    }
+}
+
+/// Guards against knowledge of a departure that ends with the server's entry, or that needs one.
+#[test]
+fn departure_outlasts_the_entry_whoever_told_it() {
+    let now = Instant::now();
+    for source in [Source::Response, Source::Peer, Source::List] {
+        for is_removed_first in [false, true] {
+            let mut fleet = BackendFleet::new(FleetConfig::default());
+            fleet.record_entry(entry(0, 1, false), now);
+            if is_removed_first {
+                fleet.remove_instance("app-0");
+            }
+            learn(&mut fleet, source, now);
+            fleet.remove_instance("app-0");
+            fleet.record_entry(entry(0, 1, false), now);
+            assert!(!is_chosen(&fleet, now), "{source:?}, {is_removed_first}");
+            fleet.record_entry(entry(0, 2, false), now);
+            assert!(is_chosen(&fleet, now), "{source:?}: the next incarnation");
+        }
+    }
+}
+
+/// Guards against running work of a server that the store lists as draining, which is no longer probed
+/// as if the server had asked for that.
+#[test]
+fn work_of_a_server_that_is_only_listed_as_draining_is_still_probed() {
+    let start = Instant::now();
+    let mut fleet = BackendFleet::new(FleetConfig::default());
+    fleet.record_entry(entry(0, 1, false), start);
+    let key = fleet.key_of("app-0").expect("the entry is listed");
+    learn(&mut fleet, Source::List, start);
+    learn(&mut fleet, Source::Peer, start);
+    let later = start + Duration::from_secs(2);
+    assert!(fleet.accepts_orders(key, later));
+    learn(&mut fleet, Source::Response, start);
+    assert!(
+        !fleet.accepts_orders(key, later),
+        "it announced that itself"
+    );
+}
+
 #[test]
 fn peer_report_counts_before_the_entry_is_known() {
     let now = Instant::now();
@@ -131,9 +193,7 @@
     for i in 0..3_000 {
         let now = start + Duration::from_millis(i.into());
         fleet.record_entry(entry(i, 1, false), now);
-        let instance = format!("app-{i}");
-        let key = fleet.key_of(&instance).expect("the entry is listed");
-        fleet.record_departure(key, now);
+        fleet.record_departure(&entry(i, 1, false), now);
     }
     let now = start + Duration::from_secs(3);
     let reported = fleet.own_departures(now);
@@ -152,7 +212,7 @@
     fleet.record_entry(entry(0, 1, false), start);
     let key = fleet.key_of("app-0").expect("the entry is listed");
     fleet.start_generation(key, BackendWork::default(), start);
-    fleet.record_departure(key, start);
+    fleet.record_departure(&entry(0, 1, false), start);
     let mut last_probe = None;
     for ms in (0..5_000).step_by(20) {
         let now = start + Duration::from_millis(ms);
@@ -214,7 +274,7 @@
             }
             let first = *first_known.entry(name.clone()).or_insert(now);
             any = any.max(now - first);
-            fleets[i].record_departure(key, now);
+            fleets[i].record_departure(&entry, now);
             known[i].insert(name, now);
         }
         if ms % 400 == 0 {
