Record a departure that an engine announces when asked whether it has ended

The check after a broken connection read the instance from the response and ignored the announcement beside it, so the gateway could send its next attempt to an engine that had just said that it leaves. The response now passes the same record as all others. No test of its own: the record is tested, and this response differs from an identity check only in who sent it.

--- a/crates/cactusbarrow_gateway/src/engine_end.rs
+++ b/crates/cactusbarrow_gateway/src/engine_end.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cactusbarrow_adapter::{decode_instance, instance_request};
+use cactusbarrow_adapter::{decode_instance, decode_server_notice, instance_request};
 use cactusbarrow_net::Clock;
 use cactusbarrow_policy::{BackendEntry, LossCause};
 
@@ -68,7 +68,11 @@
     let exchange = conn.send("check engine end", req);
     match tokio::time::timeout(END_CHECK_TIMEOUT, exchange).await {
         Ok(Ok(res)) => match decode_instance(&res.head.headers) {
-            Some(instance) if instance == *engine.instance => EndCheck::Running,
+            Some(instance) if instance == *engine.instance => {
+                let notice = decode_server_notice(res.head.status, &res.head.headers);
+                shared.record_announcement(engine, notice);
+                EndCheck::Running
+            }
             Some(_) => EndCheck::Ended,
             None => EndCheck::Unclear,
         },
