Report all departures of a burst to peers in turn

A gateway told its peers of the 16 newest departures only, so the others of a burst stayed unknown to gateways that got no response from these servers, for as long as newer ones were reported. Each heartbeat now carries the departures that were reported least often, the newest first among these: news are told at once, and n departures are all told within n/16 heartbeats, and again after a loss. all_departures_of_a_burst_are_reported_in_turn fails with the newest 16 and passes now.

--- a/crates/cactusbarrow_gateway/src/server_notices.rs
+++ b/crates/cactusbarrow_gateway/src/server_notices.rs
@@ -54,9 +54,9 @@
 
     /// Adds the departures that this gateway observed to a heartbeat.
     pub(crate) fn add_departures(&self, heartbeat: &mut GatewayHeartbeat) {
-        let departures = self.fleet().own_departures(self.now());
-        let reported = departures.into_iter().take(MAX_HEARTBEAT_DEPARTURES);
-        heartbeat.departures = reported.map(|id| id.0).collect();
+        let mut fleet = self.fleet();
+        let reports = fleet.take_departure_reports(MAX_HEARTBEAT_DEPARTURES, self.now());
+        heartbeat.departures = reports.into_iter().map(|id| id.0).collect();
     }
 
     /// Records the departures that a peer reports.
--- a/crates/cactusbarrow_policy/src/server_departure.rs
+++ b/crates/cactusbarrow_policy/src/server_departure.rs
@@ -43,6 +43,8 @@
     noticed_at: Instant,
     /// When the server first announced it to this gateway, if it did.
     announced_at: Option<Instant>,
+    /// Number of heartbeats that told peers of it.
+    reports: u32,
 }
 
 impl Departure {
@@ -51,6 +53,7 @@
         Self {
             noticed_at: now,
             announced_at: None,
+            reports: 0,
         }
     }
 
@@ -59,6 +62,7 @@
         Self {
             noticed_at: now,
             announced_at: Some(now),
+            reports: 0,
         }
     }
 }
@@ -161,6 +165,21 @@
         recent.into_iter().map(|(_, id)| id).collect()
     }
 
+    /// Takes up to `count` departures for the next heartbeat: those that were reported least often, the
+    /// newest first among these, so that all are reported in turn.
+    pub fn take_departure_reports(&mut self, count: usize, now: Instant) -> Vec<DepartureId> {
+        let mut ids = self.own_departures(now);
+        let noticed = &mut self.departures.noticed;
+        ids.sort_by_key(|id| noticed.get(id).map_or(0, |departure| departure.reports));
+        ids.truncate(count);
+        for id in &ids {
+            if let Some(departure) = noticed.get_mut(id) {
+                departure.reports += 1;
+            }
+        }
+        ids
+    }
+
     /// Returns whether orders and probes for running work may be sent to a backend server.
     pub fn accepts_orders(&self, key: BackendKey, now: Instant) -> bool {
         let backend = self.backends.get(key);
--- a/crates/cactusbarrow_policy/tests/server_departures.rs
+++ b/crates/cactusbarrow_policy/tests/server_departures.rs
@@ -203,6 +203,38 @@
     assert!(!is_chosen(&fleet, now), "listed servers stay excluded");
 }
 
+/// Guards against a burst of departures of which peers learn only the newest.
+#[test]
+fn all_departures_of_a_burst_are_reported_in_turn() {
+    let now = Instant::now();
+    let mut fleet = BackendFleet::new(FleetConfig::default());
+    for i in 0..50 {
+        fleet.record_departure(&entry(i, 1, false), now);
+    }
+    let mut peer = BackendFleet::new(FleetConfig::default());
+    // Two of the six heartbeats are lost.
+    for heartbeat in 0..6 {
+        let reports = fleet.take_departure_reports(16, now);
+        assert_eq!(reports.len(), 16);
+        if heartbeat == 4 {
+            fleet.record_departure(&entry(50, 1, false), now);
+        }
+        if heartbeat == 5 {
+            let newest = DepartureId::of_entry(&entry(50, 1, false));
+            assert!(reports.contains(&newest), "news are told at once");
+        }
+        if heartbeat > 1 {
+            for id in reports {
+                peer.record_peer_departure(id, now);
+            }
+        }
+    }
+    for i in 0..51 {
+        peer.record_entry(entry(i, 1, false), now);
+    }
+    assert!(!is_chosen(&peer, now));
+}
+
 /// Guards against probes that reach a server long after it announced its departure, and against a
 /// loss that is concluded from a probe that was not sent.
 #[test]
