Ask further peers for the list of backend servers while one is silent

Callers of a gateway that does not watch the store could be sent to servers that had left for as long as one peer was silent, slow, or wrong about what it has.

Cause: one request for knowledge ran at a time, for up to 3.5 s (bounds of a drain: 2 and 3 s), a newer configuration came before the list and in the same transfer, and the peer with the highest claim was asked again each time. In a test such a peer kept a drain away for all of the 10 s that it waited. A peer that was cut off in a transfer kept one of two permits without a time limit. Change: the configuration and the list are fetched apart; the list is asked of another peer after 600 ms, of three at most, and a peer that failed or sent nothing new is left out for 500 ms. Transfers of lists and of configurations have permits of their own, which end after 3 s. The decision is PeerFetches in cactusbarrow_policy.

drain_reaches_a_gateway_beside_a_silent_peer_with_a_newer_claim timed out before and passes now.

--- a/crates/cactusbarrow_gateway/src/peers.rs
+++ b/crates/cactusbarrow_gateway/src/peers.rs
@@ -11,8 +11,8 @@
     Body, Clock, HttpClient, HttpVersion, NetError, RequestBody, collect_limited,
 };
 use cactusbarrow_policy::{
-    NamedLimit, PeerHeartbeat, PeerLoad, PromptId, PromptLocation, RetryCount, ServiceId, StoreEra,
-    StorePosition,
+    NamedLimit, PeerFetchConfig, PeerFetches, PeerHeartbeat, PeerLoad, PromptId, PromptLocation,
+    RetryCount, ServiceId, StoreEra, StorePosition,
 };
 use cactusbarrow_protocol::generated::{
     BackendLimit, EngineLoad, GatewayHeartbeat, GatewayKnowledge, KnowledgeRequest, PromptPlace,
@@ -22,6 +22,7 @@
 use prost::Message;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
+use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
 use crate::quarantine;
@@ -56,9 +57,19 @@
 /// link.
 const KNOWLEDGE_BODY_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Largest number of peers that are sent knowledge at once; others retry, also at another
+/// Request of a peer that wants nothing; the fields of what it wants are set to what it has.
+const NOTHING_NEWER: KnowledgeRequest = KnowledgeRequest {
+    config_version: u64::MAX,
+    servers_revision: u64::MAX,
+    store_era: u64::MAX,
+};
+
+/// Largest number of peers that are sent a configuration at once; others retry, also at another
 /// gateway.
-pub(crate) const MAX_KNOWLEDGE_TRANSFERS: usize = 2;
+pub(crate) const MAX_CONFIG_TRANSFERS: usize = 2;
+
+/// Largest number of peers that are sent a list of backend servers at once.
+pub(crate) const MAX_LIST_TRANSFERS: usize = 8;
 
 /// Size of the chunks in which knowledge is sent. They are small, so that a transfer over a
 /// slow link keeps its permit until nearly all of it has been sent.
@@ -88,9 +99,10 @@
     let socket = Arc::new(socket);
     let receive = receive_heartbeats(shared.clone(), socket.clone());
     let send = send_heartbeats(shared.clone(), socket, incarnation);
-    let sync = sync_from_peers(shared, store);
+    let config = sync_configuration(shared.clone(), store);
+    let servers = sync_servers(shared);
     let all = async {
-        tokio::join!(receive, send, sync);
+        tokio::join!(receive, send, config, servers);
     };
     stop.run_until_cancelled(all).await;
 }
@@ -331,19 +343,18 @@
     }
 }
 
-/// Fetches data from peers that are ahead of this gateway, which may not reach the store or not
-/// watch it.
-async fn sync_from_peers<C: Clock>(shared: Arc<Shared<C>>, store: StoreClient) {
+/// Fetches the configuration from peers that have a newer one.
+async fn sync_configuration<C: Clock>(shared: Arc<Shared<C>>, store: StoreClient) {
     let http = HttpClient::new(HttpVersion::Http1);
     loop {
         tokio::time::sleep(PEER_SYNC_INTERVAL).await;
-        if choose_newer_peer(&shared).is_none() {
+        if choose_configured_peer(&shared).is_none() {
             continue;
         }
         if shared.is_watcher(shared.now()) {
             tokio::time::sleep(WATCHER_DELAY).await;
         }
-        let Some(peer) = choose_newer_peer(&shared) else {
+        let Some(peer) = choose_configured_peer(&shared) else {
             continue;
         };
         if is_large_config(&shared, peer) {
@@ -353,18 +364,73 @@
                 Err(e) => log::info!(step = e.step; "large configuration not read: {e}"),
             }
         }
-        let asked_at = shared.now();
-        let result = fetch_knowledge(&http, &shared, peer).await;
-        let elapsed = shared.elapsed_since(asked_at);
-        metrics::histogram!("gateway_knowledge_seconds").record(elapsed.as_secs_f64());
-        match result {
-            Ok(knowledge) => apply_knowledge(&shared, peer, knowledge, elapsed),
-            Err(e) => log::info!(
-                step = e.step,
-                elapsed_ms = elapsed.as_millis() as u64;
-                "knowledge not fetched from a peer: {e}"
-            ),
+        let known = KnowledgeRequest {
+            config_version: shared.version().0,
+            ..NOTHING_NEWER
+        };
+        if let Some(knowledge) = fetch_knowledge(&http, &shared, peer, known).await
+            && let Some(config) = knowledge.config
+        {
+            store_sync::apply_peer_configuration(&shared, item_from_wire(config), &peer);
+        }
+    }
+}
+
+/// Fetches the list of backend servers from peers that have a newer one, at any time from several if
+/// some of them are silent.
+async fn sync_servers<C: Clock>(shared: Arc<Shared<C>>) {
+    let http = HttpClient::new(HttpVersion::Http1);
+    let mut fetches = PeerFetches::new(PeerFetchConfig::default());
+    let mut running = JoinSet::new();
+    let mut behind_since = None;
+    loop {
+        tokio::select! {
+            () = tokio::time::sleep(PEER_SYNC_INTERVAL) => {}
+            Some(fetched) = running.join_next() => {
+                match fetched {
+                    Ok((peer, knowledge)) => {
+                        let is_newer = apply_servers(&shared, peer, knowledge);
+                        fetches.record_end(peer, is_newer, shared.now());
+                    }
+                    Err(e) => {
+                        log::error!("knowledge not fetched from a peer: {e}");
+                        fetches = PeerFetches::new(PeerFetchConfig::default());
+                    }
+                }
+                continue;
+            }
+        }
+        let now = shared.now();
+        let position = shared.servers_position();
+        let peer = shared
+            .peers()
+            .newest_servers(position, now, &mut *shared.rng(), |ip| {
+                fetches.is_candidate(ip, now)
+            });
+        let Some(peer) = peer else {
+            behind_since = None;
+            continue;
+        };
+        let since = *behind_since.get_or_insert(now);
+        let is_expected_from_store =
+            now.saturating_duration_since(since) < WATCHER_DELAY && shared.is_watcher(now);
+        if is_expected_from_store || !fetches.may_start(now) {
+            continue;
         }
+        fetches.record_start(peer, now);
+        let (http, shared) = (http.clone(), shared.clone());
+        running.spawn(async move {
+            let version = shared.version().0;
+            // Only a configuration that was written again after a restore comes with the list; a
+            // newer one may be large.
+            let has_newer_config = shared.peers().newer_config_bytes(peer, version).is_some();
+            let known = KnowledgeRequest {
+                config_version: if has_newer_config { u64::MAX } else { version },
+                store_era: position.era.0,
+                servers_revision: position.revision,
+            };
+            (peer, fetch_knowledge(&http, &shared, peer, known).await)
+        });
     }
 }
 
@@ -375,32 +441,55 @@
     bytes.is_some_and(|bytes| bytes >= LARGE_CONFIG_BYTES)
 }
 
-/// Draws a peer whose configuration or list of backend servers is newer than this gateway's.
-fn choose_newer_peer<C: Clock>(shared: &Shared<C>) -> Option<Ipv4Addr> {
-    let now = shared.now();
-    let (version, position) = (shared.version().0, shared.servers_position());
+/// Draws a peer whose configuration is newer than this gateway's.
+fn choose_configured_peer<C: Clock>(shared: &Shared<C>) -> Option<Ipv4Addr> {
+    let (now, version) = (shared.now(), shared.version().0);
     let peers = shared.peers();
-    let rng = &mut *shared.rng();
-    let config = peers.newest_config(version, now, rng);
-    config.or_else(|| peers.newest_servers(position, now, rng))
+    peers.newest_config(version, now, &mut *shared.rng())
 }
 
+/// Fetches what a peer has beyond `known`, and logs a failure.
 async fn fetch_knowledge<C: Clock>(
     http: &HttpClient,
     shared: &Shared<C>,
     peer: Ipv4Addr,
+    known: KnowledgeRequest,
+) -> Option<GatewayKnowledge> {
+    let asked_at = shared.now();
+    let result = try_fetch_knowledge(http, shared, peer, known).await;
+    let elapsed = shared.elapsed_since(asked_at);
+    metrics::histogram!("gateway_knowledge_seconds").record(elapsed.as_secs_f64());
+    let elapsed_ms = elapsed.as_millis() as u64;
+    match &result {
+        Ok(knowledge) => log::info!(
+            peer:% = peer,
+            position:% = position_from_wire(knowledge.store_era, knowledge.servers_revision),
+            own_position:% = shared.servers_position(),
+            entries = knowledge.servers.len(),
+            has_config = knowledge.config.is_some(),
+            elapsed_ms = elapsed_ms;
+            "knowledge fetched from a peer"
+        ),
+        Err(e) => log::info!(
+            step = e.step,
+            elapsed_ms = elapsed_ms;
+            "knowledge not fetched from a peer: {e}"
+        ),
+    }
+    result.ok()
+}
+
+async fn try_fetch_knowledge<C: Clock>(
+    http: &HttpClient,
+    shared: &Shared<C>,
+    peer: Ipv4Addr,
+    known: KnowledgeRequest,
 ) -> Result<GatewayKnowledge, NetError> {
     const STEP: &str = "ask peer for its knowledge";
     let addr = SocketAddr::new(IpAddr::V4(peer), shared.settings.peers.port());
     let uri: Uri = format!("http://{addr}/knowledge")
         .parse()
         .map_err(|e| NetError::new(STEP, addr, e))?;
-    let position = shared.servers_position();
-    let known = KnowledgeRequest {
-        config_version: shared.version().0,
-        store_era: position.era.0,
-        servers_revision: position.revision,
-    };
     let mut req = Request::new(Body::full(known.encode_to_vec()));
     *req.method_mut() = Method::POST;
     *req.uri_mut() = uri;
@@ -420,25 +509,17 @@
     GatewayKnowledge::decode(res.into_body()).map_err(|e| NetError::new(STEP, addr, e))
 }
 
-fn apply_knowledge<C: Clock>(
+/// Applies a list of backend servers that a peer sent; returns whether it was newer.
+fn apply_servers<C: Clock>(
     shared: &Shared<C>,
     peer: Ipv4Addr,
-    knowledge: GatewayKnowledge,
-    elapsed: Duration,
-) {
+    knowledge: Option<GatewayKnowledge>,
+) -> bool {
+    let Some(knowledge) = knowledge else {
+        return false;
+    };
     let position = position_from_wire(knowledge.store_era, knowledge.servers_revision);
-    let own_position = shared.servers_position();
-    if position <= own_position && knowledge.config.is_none() {
-        return;
-    }
-    log::info!(
-        peer:% = peer,
-        position:% = position,
-        own_position:% = own_position,
-        entries = knowledge.servers.len(),
-        elapsed_ms = elapsed.as_millis() as u64;
-        "knowledge fetched from a peer"
-    );
+    let is_newer = position > shared.servers_position();
     let servers = knowledge.servers.into_iter();
     let data = PeerData {
         config: knowledge.config.map(item_from_wire),
@@ -449,6 +530,7 @@
         position,
     };
     store_sync::apply_peer_data(shared, data, &peer);
+    is_newer
 }
 
 fn position_from_wire(era: u64, revision: u64) -> StorePosition {
@@ -490,16 +572,19 @@
         *res.status_mut() = StatusCode::BAD_REQUEST;
         return res;
     };
-    let Ok(permit) = shared.knowledge_permits().clone().try_acquire_owned() else {
+    let knowledge = newer_knowledge(&shared, &known);
+    let permits = match knowledge.config {
+        Some(_) => shared.config_permits(),
+        None => shared.list_permits(),
+    };
+    let Ok(permit) = permits.clone().try_acquire_owned() else {
         let mut res = Response::new(Body::Empty);
         *res.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
         return res;
     };
-    let knowledge = newer_knowledge(&shared, &known);
     let (tx, body) = Body::channel();
     let mut knowledge = Bytes::from(knowledge.encode_to_vec());
-    tokio::spawn(async move {
-        let _permit = permit;
+    let send = async move {
         while !knowledge.is_empty() {
             let chunk = knowledge.split_to(KNOWLEDGE_CHUNK_BYTES.min(knowledge.len()));
             if !tx.send(chunk).await {
@@ -507,6 +592,16 @@
             }
         }
         tx.finish();
+    };
+    tokio::spawn(async move {
+        let _permit = permit;
+        // A peer that was cut off must not keep the permit from others.
+        if tokio::time::timeout(KNOWLEDGE_BODY_TIMEOUT, send)
+            .await
+            .is_err()
+        {
+            log::info!("knowledge not sent to a peer in time");
+        }
     });
     Response::new(body)
 }
@@ -521,9 +616,12 @@
     let is_config_newer = |item: &&KeyValue| {
         version > known.config_version || (version == known.config_version && is_newer(item))
     };
+    let has_newer_list = position > known_position;
     let (instances, missing): (_, Vec<(String, Instant)>) = {
         let fleet = shared.fleet();
-        let instances = fleet.instances().map(ToString::to_string).collect();
+        // A peer whose list is as new needs no names.
+        let instances = fleet.instances().filter(|_| has_newer_list);
+        let instances = instances.map(ToString::to_string).collect();
         let missing = fleet.missing_instances();
         let missing = missing.map(|(instance, until)| (instance.to_string(), until));
         (instances, missing.collect())
--- a/crates/cactusbarrow_gateway/src/shared.rs
+++ b/crates/cactusbarrow_gateway/src/shared.rs
@@ -21,7 +21,7 @@
 use tokio::sync::{Notify, Semaphore, watch};
 use tokio_util::sync::CancellationToken;
 
-use crate::peers::{LoadChangeSignal, MAX_KNOWLEDGE_TRANSFERS};
+use crate::peers::{LoadChangeSignal, MAX_CONFIG_TRANSFERS, MAX_LIST_TRANSFERS};
 use crate::prompt_search::LastSearch;
 use crate::stream_origins::LastRead;
 
@@ -157,8 +157,10 @@
     store_cache: Mutex<StoreCache>,
     peers: Mutex<PeerTable>,
     load_change: LoadChangeSignal,
-    /// Limits the number of peers that are sent this gateway's knowledge at once.
-    knowledge_permits: Arc<Semaphore>,
+    /// Limits the number of peers that are sent the configuration at once.
+    config_permits: Arc<Semaphore>,
+    /// Limits the number of peers that are sent the list of backend servers at once.
+    list_permits: Arc<Semaphore>,
     store_health: Mutex<StoreAvailability>,
     shutdown: Mutex<Shutdown>,
     /// Cancelled shortly before the process exits.
@@ -209,7 +211,8 @@
             store_cache: Mutex::default(),
             peers: Mutex::new(peers),
             load_change: LoadChangeSignal::default(),
-            knowledge_permits: Arc::new(Semaphore::new(MAX_KNOWLEDGE_TRANSFERS)),
+            config_permits: Arc::new(Semaphore::new(MAX_CONFIG_TRANSFERS)),
+            list_permits: Arc::new(Semaphore::new(MAX_LIST_TRANSFERS)),
             store_health: Mutex::default(),
             clock,
             config: Mutex::default(),
@@ -374,8 +377,12 @@
         }
     }
 
-    pub(crate) fn knowledge_permits(&self) -> &Arc<Semaphore> {
-        &self.knowledge_permits
+    pub(crate) fn config_permits(&self) -> &Arc<Semaphore> {
+        &self.config_permits
+    }
+
+    pub(crate) fn list_permits(&self) -> &Arc<Semaphore> {
+        &self.list_permits
     }
 
     pub(crate) fn load_change(&self) -> &LoadChangeSignal {
--- a/crates/cactusbarrow_gateway/src/store_sync.rs
+++ b/crates/cactusbarrow_gateway/src/store_sync.rs
@@ -205,6 +205,15 @@
     pub(crate) position: StorePosition,
 }
 
+/// Adopts a configuration from a peer if it is newer than this gateway's.
+pub(crate) fn apply_peer_configuration<C: Clock>(
+    shared: &Shared<C>,
+    config: KeyValue,
+    source: &impl std::fmt::Display,
+) {
+    adopt_configuration(shared, config, source);
+}
+
 /// Applies those data from a peer that are newer than this gateway's.
 pub(crate) fn apply_peer_data<C: Clock>(
     shared: &Shared<C>,
--- a/crates/cactusbarrow_gateway/tests/late_departures.rs
+++ b/crates/cactusbarrow_gateway/tests/late_departures.rs
@@ -2,10 +2,16 @@
 
 mod common;
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use cactusbarrow_adapter_standins::{StoreMode, StoreStandin};
+use cactusbarrow_protocol::generated::GatewayHeartbeat;
 use common::cut_proxy::CutProxy;
 use common::{Gateway, TestCluster, caller_head, eventually, free_ports, zone};
+use prost::Message;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, UdpSocket};
 
 /// Time for a change of the store to reach all gateways.
 const PROPAGATION: Duration = Duration::from_millis(600);
@@ -113,3 +119,53 @@
     assert!(is_any_answered(&first, Duration::from_secs(1)).await);
     assert_eq!(cluster.apps[0].arrivals().len(), before);
 }
+
+/// Starts a peer that claims to have the newest list, and that accepts requests for it and is silent.
+async fn start_silent_peer(addr: SocketAddr, to: SocketAddr) {
+    let socket = UdpSocket::bind(addr).await.expect("bind the socket");
+    let listener = TcpListener::bind(addr).await.expect("bind the listener");
+    tokio::spawn(async move {
+        let mut kept = Vec::new();
+        for sequence in 1.. {
+            let heartbeat = GatewayHeartbeat {
+                incarnation: 1,
+                sequence,
+                store_era: 99,
+                servers_revision: 99,
+                config_version: 99,
+                ..GatewayHeartbeat::default()
+            };
+            let sent = socket.send_to(&heartbeat.encode_to_vec(), to).await;
+            sent.expect("send a heartbeat");
+            let accepted = tokio::time::timeout(Duration::from_millis(100), listener.accept());
+            if let Ok(Ok((mut conn, _))) = accepted.await {
+                let head = b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\n";
+                conn.write_all(head).await.expect("write the head");
+                kept.push(conn);
+            }
+        }
+    });
+}
+
+/// Guards against a gateway that waits for one peer, which is silent or wrong about what it knows,
+/// while others could tell it of a departure.
+#[tokio::test]
+async fn drain_reaches_a_gateway_beside_a_silent_peer_with_a_newer_claim() {
+    let cluster = TestCluster::start(0).await;
+    let base = free_ports("127.0.0.1");
+    let first = cluster.gateway("127.0.0.1", base, "127.0.0.2").await;
+    first.wait_until_ready().await;
+    let store = StoreStandin::start().await.expect("start another store");
+    store.set_mode(StoreMode::Busy);
+    let second =
+        TestCluster::gateway_with_store("127.0.0.2", base, "127.0.0.1", store.addr()).await;
+    second.wait_until_ready().await;
+    let addr = |ip: [u8; 4]| SocketAddr::from((ip, base + 2));
+    start_silent_peer(addr([127, 0, 0, 3]), addr([127, 0, 0, 2])).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    cluster.put_entry(&cluster.apps[0], "app", zone(0), "draining");
+    eventually("the drain is known", || {
+        second.handle.status().backends == 1
+    })
+    .await;
+}
--- a/crates/cactusbarrow_policy/src/lib.rs
+++ b/crates/cactusbarrow_policy/src/lib.rs
@@ -32,6 +32,7 @@
 mod orders;
 mod outcome;
 mod part_quarantine;
+mod peer_fetches;
 mod peer_table;
 mod placement;
 mod prompt_locations;
@@ -90,6 +91,7 @@
 pub use orders::{EngineOrders, LoadOrder, OrderConfig};
 pub use outcome::{Outcome, Reason};
 pub use part_quarantine::{LostAttempt, PartQuarantine, QuarantineConfig, QuarantineVerdict};
+pub use peer_fetches::{PeerFetchConfig, PeerFetches};
 pub use peer_table::{PeerConfig, PeerHeartbeat, PeerLoad, PeerTable};
 pub use placement::PlacementRequest;
 pub use prompt_locations::{PromptId, PromptLocation, PromptLocationConfig, PromptLocations};
--- a/crates/cactusbarrow_policy/src/peer_table.rs
+++ b/crates/cactusbarrow_policy/src/peer_table.rs
@@ -252,7 +252,13 @@
         now: Instant,
         rng: &mut impl Rng,
     ) -> Option<Ipv4Addr> {
-        self.draw_newest(version, now, rng, |heartbeat| heartbeat.config_version)
+        self.draw_newest(
+            version,
+            now,
+            rng,
+            |_| true,
+            |heartbeat| heartbeat.config_version,
+        )
     }
 
     /// Returns the size of a peer's configuration, if it is newer than `version`.
@@ -261,15 +267,18 @@
         (heartbeat.config_version > version).then_some(heartbeat.config_bytes)
     }
 
-    /// Draws one of the peers with the newest list of backend servers, if it is newer than
+    /// Draws one of the candidates with the newest list of backend servers, if it is newer than
     /// `position`.
     pub fn newest_servers(
         &self,
         position: StorePosition,
         now: Instant,
         rng: &mut impl Rng,
+        is_candidate: impl Fn(Ipv4Addr) -> bool,
     ) -> Option<Ipv4Addr> {
-        self.draw_newest(position, now, rng, |heartbeat| heartbeat.servers_position)
+        self.draw_newest(position, now, rng, is_candidate, |heartbeat| {
+            heartbeat.servers_position
+        })
     }
 
     fn draw_newest<V: Ord>(
@@ -277,9 +286,11 @@
         own: V,
         now: Instant,
         rng: &mut impl Rng,
+        is_candidate: impl Fn(Ipv4Addr) -> bool,
         version_of: impl Fn(&PeerHeartbeat) -> V,
     ) -> Option<Ipv4Addr> {
         self.live_entries(now)
+            .filter(|(ip, _)| is_candidate(**ip))
             .map(|(ip, peer)| (version_of(&peer.heartbeat), rng.next_u64(), *ip))
             .filter(|(version, ..)| *version > own)
             .max()
--- a/crates/cactusbarrow_policy/tests/gateways.rs
+++ b/crates/cactusbarrow_policy/tests/gateways.rs
@@ -204,7 +204,7 @@
         table.record(ip(i), heartbeat, now);
     }
     let mut rng = StdRng::seed_from_u64(5);
-    let mut newest = |own| table.newest_servers(own, now, &mut rng);
+    let mut newest = |own| table.newest_servers(own, now, &mut rng, |_| true);
     assert_eq!(newest(position(1, 950)), Some(ip(2)));
     assert_eq!(newest(position(2, 39)), Some(ip(2)));
     assert_eq!(newest(position(2, 40)), None);
