Tell gateways that start later which backend servers have left

Callers of a gateway that had just started were sent to a server that had announced its departure, if the gateway that noticed it had ended: peers report only departures that they noticed themselves, so what one gateway gathered ended with it. Cause: second-hand departures were never passed on. Heartbeats still carry only first-hand ones.

--- a/crates/cactusbarrow_gateway/src/peers.rs
+++ b/crates/cactusbarrow_gateway/src/peers.rs
@@ -20,6 +20,7 @@
 };
 use http::{Method, Request, Response, StatusCode, Uri};
 use prost::Message;
+use rand::seq::IteratorRandom;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio::task::JoinSet;
@@ -62,6 +63,7 @@
     config_version: u64::MAX,
     servers_revision: u64::MAX,
     store_era: u64::MAX,
+    wants_departures: false,
 };
 
 /// Largest number of peers that are sent a configuration at once; others retry, also at another
@@ -100,9 +102,10 @@
     let receive = receive_heartbeats(shared.clone(), socket.clone());
     let send = send_heartbeats(shared.clone(), socket, incarnation);
     let config = sync_configuration(shared.clone(), store);
-    let servers = sync_servers(shared);
+    let servers = sync_servers(shared.clone());
+    let departures = learn_departures(shared);
     let all = async {
-        tokio::join!(receive, send, config, servers);
+        tokio::join!(receive, send, config, servers, departures);
     };
     stop.run_until_cancelled(all).await;
 }
@@ -428,12 +431,37 @@
                 config_version: if has_newer_config { u64::MAX } else { version },
                 store_era: position.era.0,
                 servers_revision: position.revision,
+                wants_departures: false,
             };
             (peer, fetch_knowledge(&http, &shared, peer, known).await)
         });
     }
 }
 
+/// Learns the departures that peers know, once after the start: their heartbeats report only those that
+/// they noticed themselves.
+async fn learn_departures<C: Clock>(shared: Arc<Shared<C>>) {
+    let http = HttpClient::new(HttpVersion::Http1);
+    loop {
+        tokio::time::sleep(PEER_SYNC_INTERVAL).await;
+        let peer = {
+            let live = shared.peers().live_peers(shared.now()).collect::<Vec<_>>();
+            live.into_iter().choose(&mut *shared.rng())
+        };
+        let Some(peer) = peer else {
+            continue;
+        };
+        let known = KnowledgeRequest {
+            wants_departures: true,
+            ..NOTHING_NEWER
+        };
+        if let Some(knowledge) = fetch_knowledge(&http, &shared, peer, known).await {
+            shared.record_peer_departures(&knowledge.departures);
+            return;
+        }
+    }
+}
+
 /// Returns whether a peer has a newer configuration that is too large to be fetched from it.
 fn is_large_config<C: Clock>(shared: &Shared<C>, peer: Ipv4Addr) -> bool {
     let version = shared.version().0;
@@ -626,6 +654,11 @@
         let missing = missing.map(|(instance, until)| (instance.to_string(), until));
         (instances, missing.collect())
     };
+    let departures = if known.wants_departures {
+        shared.fleet().known_departures().map(|id| id.0).collect()
+    } else {
+        Vec::new()
+    };
     let now = shared.now();
     let last_renewal = missing.iter().map(|(_, until)| *until).max();
     let missing_for =
@@ -641,6 +674,7 @@
         instances,
         missing: missing.into_iter().map(|(instance, _)| instance).collect(),
         // Zero states no time.
+        departures,
         missing_ms: missing_for.as_millis().clamp(1, u32::MAX.into()) as u32,
     }
 }
--- a/crates/cactusbarrow_gateway/tests/late_departures.rs
+++ b/crates/cactusbarrow_gateway/tests/late_departures.rs
@@ -120,6 +120,30 @@
     assert_eq!(cluster.apps[0].arrivals().len(), before);
 }
 
+/// Guards against a departure that only one gateway noticed, and that is forgotten with its end.
+#[tokio::test]
+async fn gateway_that_starts_later_learns_of_departures_from_any_peer() {
+    let cluster = TestCluster::start(0).await;
+    let app = &cluster.apps[0];
+    let base = free_ports("127.0.0.1");
+    let first = cluster.gateway("127.0.0.1", base, "127.0.0.2").await;
+    let second = cluster.gateway("127.0.0.2", base, "127.0.0.1").await;
+    first.wait_until_ready().await;
+    second.wait_until_ready().await;
+    app.set_leaving(true);
+    while app.arrivals().is_empty() {
+        assert!(is_any_answered(&first, Duration::from_millis(20)).await);
+    }
+    tokio::time::sleep(PROPAGATION).await;
+    first.handle.stop().await;
+    let third = cluster.gateway("127.0.0.3", base, "127.0.0.2").await;
+    third.wait_until_ready().await;
+    tokio::time::sleep(PROPAGATION).await;
+    let before = app.arrivals().len();
+    assert!(is_any_answered(&third, Duration::from_millis(500)).await);
+    assert_eq!(app.arrivals().len(), before);
+}
+
 /// Starts a peer that claims to have the newest list, and that accepts requests for it and is silent.
 async fn start_silent_peer(addr: SocketAddr, to: SocketAddr) {
     let socket = UdpSocket::bind(addr).await.expect("bind the socket");
--- a/crates/cactusbarrow_policy/src/server_departure.rs
+++ b/crates/cactusbarrow_policy/src/server_departure.rs
@@ -180,6 +180,11 @@
         ids
     }
 
+    /// Returns all departures that are remembered, for a peer that has just started.
+    pub fn known_departures(&self) -> impl Iterator<Item = DepartureId> {
+        self.departures.noticed.keys().copied()
+    }
+
     /// Returns whether orders and probes for running work may be sent to a backend server.
     pub fn accepts_orders(&self, key: BackendKey, now: Instant) -> bool {
         let backend = self.backends.get(key);
