--- a/crates/cactusbarrow_gateway/tests/server_backoff.rs
+++ b/crates/cactusbarrow_gateway/tests/server_backoff.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use cactusbarrow_adapter_standins::{BackendStandin, Fault};
-use common::{CallerResponse, Gateway, TestCluster, caller_head, eventually};
+use common::{CallerResponse, Gateway, TestCluster, caller_head, eventually, zone};
 use tokio::task::JoinSet;
 
 /// Returns the number of requests that arrived between two instants.
@@ -179,3 +179,96 @@
     assert_eq!(arrivals, 0);
     assert!(long.body.is_none(), "the stream is aborted");
 }
+
+/// Time after a statement from which requests count.
+const GRACE: Duration = Duration::from_millis(500);
+
+/// Guards against a stated time that is forgotten with the server's entry.
+#[tokio::test]
+async fn server_gets_no_requests_in_its_stated_time_after_it_is_listed_again() {
+    let cluster = TestCluster::start(1).await;
+    let gateway = cluster.one_gateway().await;
+    let app = &cluster.apps[0];
+    app.set_retry_after(Some("4"));
+    let declined_at = call_until_declined(&gateway, app).await;
+    app.set_retry_after(None);
+    cluster.store.delete("servers/app-0");
+    eventually("the entry is gone", || {
+        gateway.handle.status().backends == 2
+    })
+    .await;
+    cluster.put_entry(app, "app", zone(0), "ready");
+    eventually("it is listed again", || {
+        gateway.handle.status().backends == 3
+    })
+    .await;
+    for i in 0..30 {
+        let id = format!("a-{i}");
+        let response = gateway.call(&caller_head(&id, "/write/a"), "POST").await;
+        assert_eq!(response.status(), 200, "{id}");
+    }
+    assert_eq!(arrivals_between(app, declined_at, Instant::now()), 0);
+}
+
+/// Guards against identity checks of a lost server that go on although it declines them.
+#[tokio::test]
+async fn lost_server_is_not_asked_for_its_identity_in_its_stated_time() {
+    let cluster = TestCluster::start(1).await;
+    let gateway = cluster.one_gateway().await;
+    let app = &cluster.apps[0];
+    app.pause_with_full_backlog().await;
+    for i in 0..20 {
+        let id = format!("lose-{i}");
+        gateway.call(&caller_head(&id, "/write/a"), "POST").await;
+    }
+    app.set_retry_after(Some("60"));
+    app.resume();
+    let before = Instant::now();
+    eventually("its identity is asked for", || {
+        arrivals_between(app, before, Instant::now()) > 0
+    })
+    .await;
+    let asked_at = Instant::now();
+    tokio::time::sleep(Duration::from_millis(4_500)).await;
+    let later = arrivals_between(app, asked_at + GRACE, Instant::now());
+    assert!(later <= 2, "{later} requests");
+}
+
+/// Guards against checks whether a server has ended that reach one which asked for no requests.
+#[tokio::test]
+async fn broken_call_is_followed_by_few_checks_in_the_stated_time() {
+    let cluster = TestCluster::start(0).await;
+    let gateway = Arc::new(cluster.one_gateway().await);
+    let app = &cluster.apps[0];
+    app.set_run_time(Duration::from_millis(1_100));
+    app.set_fault(Some(Fault::TruncateResponse));
+    let running = {
+        let gateway = gateway.clone();
+        // Both servers run such calls, so that one of them runs at the first.
+        let call = async move |i: usize| {
+            let id = format!("long-{i}");
+            gateway.call(&caller_head(&id, "/write/a"), "POST").await;
+        };
+        tokio::spawn(async move { tokio::join!(call(1), call(2), call(3)) })
+    };
+    eventually("a call runs", || !app.runs().is_empty()).await;
+    app.set_retry_after(Some("30"));
+    let before = Instant::now();
+    let mut declined = JoinSet::new();
+    for i in 0..8 {
+        let gateway = gateway.clone();
+        declined.spawn(async move {
+            let id = format!("decline-{i}");
+            gateway.call(&caller_head(&id, "/write/a"), "POST").await;
+        });
+    }
+    eventually("a call is declined", || {
+        arrivals_between(app, before, Instant::now()) > 0
+    })
+    .await;
+    let declined_at = Instant::now();
+    running.await.expect("the calls end");
+    tokio::time::sleep(GRACE).await;
+    let checks = arrivals_between(app, declined_at + GRACE, Instant::now());
+    assert!(checks <= 2, "{checks} requests");
+}
