Name the id of a server's incarnation for what it identifies

DepartureId becomes ServerIncarnation and is kept with each backend server, so that further knowledge about an incarnation can be found by it. No logic changes.

--- a/crates/cactusbarrow_gateway/src/server_notices.rs
+++ b/crates/cactusbarrow_gateway/src/server_notices.rs
@@ -4,7 +4,7 @@
 
 use cactusbarrow_adapter::ServerNotice;
 use cactusbarrow_net::Clock;
-use cactusbarrow_policy::{BackendEntry, BackendKey, DepartureId};
+use cactusbarrow_policy::{BackendEntry, BackendKey, ServerIncarnation};
 use cactusbarrow_protocol::generated::GatewayHeartbeat;
 
 use crate::request::AdmittedRequest;
@@ -64,7 +64,7 @@
         for id in departures {
             let entry = {
                 let mut fleet = self.fleet();
-                let key = fleet.record_peer_departure(DepartureId(*id), self.now());
+                let key = fleet.record_peer_departure(ServerIncarnation(*id), self.now());
                 key.and_then(|key| fleet.get(key)).map(|b| b.entry.clone())
             };
             if let Some(entry) = entry {
--- a/crates/cactusbarrow_policy/src/backend.rs
+++ b/crates/cactusbarrow_policy/src/backend.rs
@@ -7,11 +7,12 @@
 use slotmap::new_key_type;
 
 use crate::fleet_config::FleetConfig;
-use crate::hash::stable_hash;
+use crate::hash::{mix, stable_hash};
 use crate::heartbeat::Heartbeat;
 use crate::operator_config::ServiceName;
 use crate::outcome::Reason;
 use crate::request_limit::RequestLimit;
+use crate::request_parts::IncarnationId;
 use crate::server_backoff::ServerBackoff;
 use crate::software::{SoftwareId, SoftwareVersion};
 
@@ -41,6 +42,19 @@
     pub incarnation: u64,
 }
 
+/// Identifies an incarnation of a backend server at its address, for all gateways.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct ServerIncarnation(pub u64);
+
+impl ServerIncarnation {
+    /// Returns the id of the incarnation that registered this entry.
+    pub fn of_entry(entry: &BackendEntry) -> Self {
+        let incarnation = IncarnationId::new(&entry.instance, entry.incarnation);
+        let address = stable_hash(entry.address.to_string().as_bytes());
+        Self(mix(incarnation.0 ^ address))
+    }
+}
+
 /// State of an entry in the platform's list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Listing {
@@ -114,6 +128,7 @@
 pub struct Backend {
     /// Entry under which it registered itself.
     pub entry: BackendEntry,
+    pub(crate) incarnation: ServerIncarnation,
     pub(crate) instance_hash: u64,
     pub(crate) software: SoftwareId,
     pub(crate) listing: Listing,
@@ -163,6 +178,7 @@
 impl Backend {
     pub(crate) fn new(entry: BackendEntry, listing: Listing, now: Instant) -> Self {
         Self {
+            incarnation: ServerIncarnation::of_entry(&entry),
             instance_hash: stable_hash(entry.instance.as_bytes()),
             software: entry.software.id(),
             entry,
--- a/crates/cactusbarrow_policy/src/backend_fleet.rs
+++ b/crates/cactusbarrow_policy/src/backend_fleet.rs
@@ -9,11 +9,13 @@
 use rand::seq::IteratorRandom;
 use slotmap::SlotMap;
 
-use crate::backend::{Backend, BackendEntry, BackendKey, BackendWork, Health, Listing, LossCause};
+use crate::backend::{
+    Backend, BackendEntry, BackendKey, BackendWork, Health, Listing, LossCause, ServerIncarnation,
+};
 use crate::fleet_config::FleetConfig;
 use crate::heartbeat::HeartbeatStep;
 use crate::peer_table::PeerLoad;
-use crate::server_departure::{DepartureId, Departures};
+use crate::server_departure::Departures;
 use crate::software::SoftwareId;
 
 /// Number of peers that must avoid an engine before the copies it holds are considered
@@ -151,7 +153,7 @@
 
     /// Inserts or updates the entry of an instance; returns whether its state changed.
     pub fn record_entry(&mut self, entry: BackendEntry, now: Instant) -> bool {
-        let departure = DepartureId::of_entry(&entry);
+        let departure = ServerIncarnation::of_entry(&entry);
         if entry.is_draining {
             self.departures.record_listed(departure, now);
         }
--- a/crates/cactusbarrow_policy/src/lib.rs
+++ b/crates/cactusbarrow_policy/src/lib.rs
@@ -59,7 +59,7 @@
 
 pub use admission::{AdmissionConfig, AdmissionController, DrainCause, Permit, Work};
 pub use adopted_config::{AdoptedConfig, Change, ChangeLog, Delta, DeltaError, Digest};
-pub use backend::{Backend, BackendEntry, BackendKey, BackendWork, LossCause};
+pub use backend::{Backend, BackendEntry, BackendKey, BackendWork, LossCause, ServerIncarnation};
 pub use backend_fleet::{BackendFleet, HeartbeatAction};
 pub use call_plan::{CallAction, CallEvent, CallPlan};
 pub use claim_page::{ClaimEntry, ClaimPage, ClaimPageError, EntryState};
@@ -102,7 +102,6 @@
 pub use retry::{Backoff, RetryBudget};
 pub use retry_after::retry_after;
 pub use retry_window::{RetryCount, RetryLimits, RetryWindow};
-pub use server_departure::DepartureId;
 pub use shutdown::{Shutdown, ShutdownConfig};
 pub use software::{SoftwareId, SoftwareVersion};
 pub use start_wait::start_wait;
--- a/crates/cactusbarrow_policy/src/server_departure.rs
+++ b/crates/cactusbarrow_policy/src/server_departure.rs
@@ -7,10 +7,8 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use crate::backend::{Backend, BackendEntry, BackendKey, Listing};
+use crate::backend::{Backend, BackendEntry, BackendKey, Listing, ServerIncarnation};
 use crate::backend_fleet::BackendFleet;
-use crate::hash::{mix, stable_hash};
-use crate::request_parts::IncarnationId;
 
 /// Time after an announcement in which probes and orders for running work are still sent.
 const ORDER_GRACE: Duration = Duration::from_secs(1);
@@ -24,19 +22,6 @@
 /// Maximum number of departures that are remembered, about 50 bytes each.
 const MAX_DEPARTURES: usize = 1_024;
 
-/// Identifies an incarnation of a backend server at its address, for all gateways.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct DepartureId(pub u64);
-
-impl DepartureId {
-    /// Returns the id of the incarnation that registered this entry.
-    pub fn of_entry(entry: &BackendEntry) -> Self {
-        let incarnation = IncarnationId::new(&entry.instance, entry.incarnation);
-        let address = stable_hash(entry.address.to_string().as_bytes());
-        Self(mix(incarnation.0 ^ address))
-    }
-}
-
 /// When and by whom a departure was noticed.
 #[derive(Clone, Copy, Debug)]
 struct Departure {
@@ -70,26 +55,26 @@
 /// Departures of backend servers, which outlast their entries.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Departures {
-    noticed: HashMap<DepartureId, Departure>,
+    noticed: HashMap<ServerIncarnation, Departure>,
 }
 
 impl Departures {
-    pub(crate) fn contains(&self, id: DepartureId) -> bool {
+    pub(crate) fn contains(&self, id: ServerIncarnation) -> bool {
         self.noticed.contains_key(&id)
     }
 
     /// Returns when a server announced its departure to this gateway, if it did.
-    pub(crate) fn announced_at(&self, id: DepartureId) -> Option<Instant> {
+    pub(crate) fn announced_at(&self, id: ServerIncarnation) -> Option<Instant> {
         self.noticed.get(&id)?.announced_at
     }
 
     /// Records that the store lists a server as draining.
-    pub(crate) fn record_listed(&mut self, id: DepartureId, now: Instant) {
+    pub(crate) fn record_listed(&mut self, id: ServerIncarnation, now: Instant) {
         self.record(id, Departure::reported(now));
     }
 
     /// Records a departure; returns whether it was unknown.
-    fn record(&mut self, id: DepartureId, departure: Departure) -> bool {
+    fn record(&mut self, id: ServerIncarnation, departure: Departure) -> bool {
         if let Some(known) = self.noticed.get_mut(&id) {
             known.announced_at = known.announced_at.or(departure.announced_at);
             return false;
@@ -131,7 +116,7 @@
     /// Its running work goes on. It gets no new work, whatever the store lists, until another
     /// incarnation registers.
     pub fn record_departure(&mut self, entry: &BackendEntry, now: Instant) -> bool {
-        let id = DepartureId::of_entry(entry);
+        let id = ServerIncarnation::of_entry(entry);
         let is_new = self.departures.announced_at(id).is_none();
         if is_new {
             self.departures.record(id, Departure::announced(now));
@@ -141,7 +126,11 @@
     }
 
     /// Records a departure that a peer observed; returns the backend server if it was in use.
-    pub fn record_peer_departure(&mut self, id: DepartureId, now: Instant) -> Option<BackendKey> {
+    pub fn record_peer_departure(
+        &mut self,
+        id: ServerIncarnation,
+        now: Instant,
+    ) -> Option<BackendKey> {
         if !self.departures.record(id, Departure::reported(now)) {
             return None;
         }
@@ -149,12 +138,12 @@
     }
 
     /// Returns the departures that this gateway observed and reports to its peers, newest first.
-    pub fn own_departures(&self, now: Instant) -> Vec<DepartureId> {
+    pub fn own_departures(&self, now: Instant) -> Vec<ServerIncarnation> {
         let is_recent = |departure: &Departure| {
             let announced_at = departure.announced_at;
             announced_at.is_some_and(|at| now.saturating_duration_since(at) < REPORT_TIME)
         };
-        let mut recent: Vec<(Instant, DepartureId)> = self
+        let mut recent: Vec<(Instant, ServerIncarnation)> = self
             .departures
             .noticed
             .iter()
@@ -167,7 +156,7 @@
 
     /// Takes up to `count` departures for the next heartbeat: those that were reported least often, the
     /// newest first among these, so that all are reported in turn.
-    pub fn take_departure_reports(&mut self, count: usize, now: Instant) -> Vec<DepartureId> {
+    pub fn take_departure_reports(&mut self, count: usize, now: Instant) -> Vec<ServerIncarnation> {
         let mut ids = self.own_departures(now);
         let noticed = &mut self.departures.noticed;
         ids.sort_by_key(|id| noticed.get(id).map_or(0, |departure| departure.reports));
@@ -181,7 +170,7 @@
     }
 
     /// Returns all departures that are remembered, for a peer that has just started.
-    pub fn known_departures(&self) -> impl Iterator<Item = DepartureId> {
+    pub fn known_departures(&self) -> impl Iterator<Item = ServerIncarnation> {
         self.departures.noticed.keys().copied()
     }
 
@@ -193,11 +182,11 @@
 
     /// Gives the backend servers of a departed incarnation no new work from now on; returns one that
     /// was in use until now.
-    fn mark_leaving(&mut self, id: DepartureId) -> Option<BackendKey> {
+    fn mark_leaving(&mut self, id: ServerIncarnation) -> Option<BackendKey> {
         let announced_at = self.departures.announced_at(id);
         let mut last_used = None;
         for (key, backend) in &mut self.backends {
-            if DepartureId::of_entry(&backend.entry) != id {
+            if backend.incarnation != id {
                 continue;
             }
             backend.left_at = announced_at;
--- a/crates/cactusbarrow_policy/tests/server_departures.rs
+++ b/crates/cactusbarrow_policy/tests/server_departures.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use cactusbarrow_policy::{
-    BackendEntry, BackendFleet, BackendWork, DepartureId, FleetConfig, HeartbeatAction,
+    BackendEntry, BackendFleet, BackendWork, FleetConfig, HeartbeatAction, ServerIncarnation,
     SoftwareVersion,
 };
 use proptest::prelude::*;
@@ -98,7 +98,7 @@
         fleet.record_entry(entry(0, 1, false), now);
         prop_assert!(is_chosen(&fleet, now));
         if is_reported_by_peer {
-            let id = DepartureId::of_entry(&entry(0, 1, false));
+            let id = ServerIncarnation::of_entry(&entry(0, 1, false));
             prop_assert!(fleet.record_peer_departure(id, now).is_some());
         } else {
             prop_assert!(fleet.record_departure(&entry(0, 1, false), now));
@@ -126,7 +126,7 @@
             fleet.record_departure(&entry(0, 1, false), now);
         }
         Source::Peer => {
-            let id = DepartureId::of_entry(&entry(0, 1, false));
+            let id = ServerIncarnation::of_entry(&entry(0, 1, false));
             fleet.record_peer_departure(id, now);
         }
         Source::List => {
@@ -179,7 +179,7 @@
 fn peer_report_counts_before_the_entry_is_known() {
     let now = Instant::now();
     let mut fleet = BackendFleet::new(FleetConfig::default());
-    let id = DepartureId::of_entry(&entry(0, 1, false));
+    let id = ServerIncarnation::of_entry(&entry(0, 1, false));
     assert_eq!(fleet.record_peer_departure(id, now), None);
     fleet.record_entry(entry(0, 1, false), now);
     assert!(!is_chosen(&fleet, now));
@@ -197,7 +197,10 @@
     }
     let now = start + Duration::from_secs(3);
     let reported = fleet.own_departures(now);
-    assert_eq!(reported[0], DepartureId::of_entry(&entry(2_999, 1, false)));
+    assert_eq!(
+        reported[0],
+        ServerIncarnation::of_entry(&entry(2_999, 1, false))
+    );
     assert_eq!(reported.len(), 1_024, "memory is bounded");
     assert_eq!(fleet.own_departures(now + REPORT_TIME), []);
     assert!(!is_chosen(&fleet, now), "listed servers stay excluded");
@@ -220,7 +223,7 @@
             fleet.record_departure(&entry(50, 1, false), now);
         }
         if heartbeat == 5 {
-            let newest = DepartureId::of_entry(&entry(50, 1, false));
+            let newest = ServerIncarnation::of_entry(&entry(50, 1, false));
             assert!(reports.contains(&newest), "news are told at once");
         }
         if heartbeat > 1 {
@@ -310,7 +313,7 @@
             known[i].insert(name, now);
         }
         if ms % 400 == 0 {
-            let reports: Vec<Vec<DepartureId>> = fleets
+            let reports: Vec<Vec<ServerIncarnation>> = fleets
                 .iter()
                 .map(|fleet| fleet.own_departures(now))
                 .collect();
