Remember a server's stated wait apart from its entry

Backend servers that had asked for no requests for some seconds got them all the same, after their entry was removed, or missing and expired, and listed again within that time.

Cause: the stated time was kept in the state of the server's entry and ended with it. With a request still open, the old and the new state of one incarnation even stood side by side, and a statement reached only one of them. Change: stated times are kept by incarnation beside the entries. Statements are recorded by the entry to which a request was sent, whether or not it is still listed, from all responses, also to the check whether an engine has ended. At most 16,384 are remembered; those that end first are dropped. Why it works: all choices and checks ask for the incarnation, and only time or another incarnation ends a stated time.

--- a/crates/cactusbarrow_gateway/src/backend_probes.rs
+++ b/crates/cactusbarrow_gateway/src/backend_probes.rs
@@ -62,7 +62,7 @@
     match result {
         Ok(Ok(res)) => {
             let notice = decode_server_notice(res.head.status, &res.head.headers);
-            shared.record_notice((key, &entry), notice, sent_at);
+            shared.record_notice(&entry, notice, sent_at);
             shared.fleet().record_report(key, shared.now());
         }
         Ok(Err(e)) => record_probe_failure(&shared, key, &e),
@@ -98,7 +98,7 @@
     match decode_instance(&head.headers) {
         Some(instance) if instance == *entry.instance => {
             let notice = decode_server_notice(head.status, &head.headers);
-            shared.record_notice((key, &entry), notice, sent_at);
+            shared.record_notice(&entry, notice, sent_at);
             shared.record_alive(key);
         }
         Some(_) => shared.record_loss(key, LossCause::Replaced, "ask for identity"),
--- a/crates/cactusbarrow_gateway/src/call.rs
+++ b/crates/cactusbarrow_gateway/src/call.rs
@@ -183,7 +183,7 @@
         let response = conn.send("send call", encode(req, entry)).await?;
         let (head, body, _driver) = response.into_parts();
         let head = decode_engine_response(head, &req.caller.request_id);
-        shared.record_notice((key, entry), head.notice, sent_at);
+        shared.record_notice(entry, head.notice, sent_at);
         let body = collect_limited(body, MAX_RESPONSE_BYTES, &req.caller.request_id).await?;
         Ok::<_, cactusbarrow_net::NetError>((head, body))
     };
--- a/crates/cactusbarrow_gateway/src/engine_end.rs
+++ b/crates/cactusbarrow_gateway/src/engine_end.rs
@@ -65,12 +65,13 @@
     };
     metrics::counter!("gateway_identity_checks_total").increment(1);
     let req = instance_request(&engine.address.to_string(), &spec.health_path);
+    let sent_at = shared.now();
     let exchange = conn.send("check engine end", req);
     match tokio::time::timeout(END_CHECK_TIMEOUT, exchange).await {
         Ok(Ok(res)) => match decode_instance(&res.head.headers) {
             Some(instance) if instance == *engine.instance => {
                 let notice = decode_server_notice(res.head.status, &res.head.headers);
-                shared.record_announcement(engine, notice);
+                shared.record_notice(engine, notice, sent_at);
                 EndCheck::Running
             }
             Some(_) => EndCheck::Ended,
--- a/crates/cactusbarrow_gateway/src/generation/attempt.rs
+++ b/crates/cactusbarrow_gateway/src/generation/attempt.rs
@@ -228,7 +228,7 @@
         };
         let (head, body, driver) = response.into_parts();
         let head = decode_engine_response(head, &req.caller.request_id);
-        shared.record_notice((target.key, &target.entry), head.notice, sent_at);
+        shared.record_notice(&target.entry, head.notice, sent_at);
         if head.is_from_instance() {
             shared.record_request_limit(target.key, head.request_limit, sent_at);
         }
--- a/crates/cactusbarrow_gateway/src/generation/copy_manager.rs
+++ b/crates/cactusbarrow_gateway/src/generation/copy_manager.rs
@@ -236,7 +236,7 @@
         metrics::counter!("gateway_memory_copies_total").increment(1);
         let order = tokio::spawn(send_copy_order(
             self.shared.clone(),
-            (self.key, self.engine.clone()),
+            self.engine.clone(),
             holder.entry.clone(),
             request_id.to_owned(),
         ));
@@ -305,7 +305,7 @@
 /// Orders an engine to copy a generation's memory to `to`, and waits until it is done.
 async fn send_copy_order<C: Clock>(
     shared: Arc<Shared<C>>,
-    (key, engine): (BackendKey, BackendEntry),
+    engine: BackendEntry,
     to: BackendEntry,
     request_id: String,
 ) -> CopyResult {
@@ -316,7 +316,7 @@
         let sent_at = shared.now();
         let (head, body, _driver) = conn.send(STEP, req).await?.into_parts();
         let notice = decode_server_notice(head.status, &head.headers);
-        shared.record_notice((key, &engine), notice, sent_at);
+        shared.record_notice(&engine, notice, sent_at);
         if head.status != StatusCode::OK {
             let status = format!("status {}", head.status);
             return Err(NetError::new(STEP, engine.address, status));
--- a/crates/cactusbarrow_gateway/src/prompt_search.rs
+++ b/crates/cactusbarrow_gateway/src/prompt_search.rs
@@ -8,9 +8,7 @@
 
 use cactusbarrow_adapter::{cached_parts_request, decode_cached_parts, decode_server_notice};
 use cactusbarrow_net::{Clock, NetError, collect_limited};
-use cactusbarrow_policy::{
-    BackendEntry, BackendKey, PromptId, PromptLocation, ServiceName, stable_hash,
-};
+use cactusbarrow_policy::{BackendEntry, PromptId, PromptLocation, ServiceName, stable_hash};
 use http::StatusCode;
 use tokio::task::JoinSet;
 
@@ -49,10 +47,10 @@
     };
     let asked = engines.len();
     let mut lists = JoinSet::new();
-    for (key, entry) in engines {
+    for entry in engines {
         let shared = shared.clone();
         lists.spawn(async move {
-            let parts = list_cached_parts(&shared, (key, &entry)).await;
+            let parts = list_cached_parts(&shared, &entry).await;
             (entry, parts)
         });
     }
@@ -95,7 +93,7 @@
 
 async fn list_cached_parts<C: Clock>(
     shared: &Shared<C>,
-    (key, entry): (BackendKey, &BackendEntry),
+    entry: &BackendEntry,
 ) -> Result<Vec<String>, NetError> {
     const STEP: &str = "list cached prompts";
     let address = entry.address;
@@ -104,7 +102,7 @@
     let req = cached_parts_request(&address.to_string());
     let (head, body, _driver) = conn.send(STEP, req).await?.into_parts();
     let notice = decode_server_notice(head.status, &head.headers);
-    shared.record_notice((key, entry), notice, sent_at);
+    shared.record_notice(entry, notice, sent_at);
     if head.status != StatusCode::OK {
         let status = format!("status {}", head.status);
         return Err(NetError::new(STEP, address, status));
--- a/crates/cactusbarrow_gateway/src/server_notices.rs
+++ b/crates/cactusbarrow_gateway/src/server_notices.rs
@@ -18,38 +18,30 @@
     /// a request that was sent at `sent_at`; the entry may be gone.
     pub(crate) fn record_notice(
         &self,
-        (key, entry): (BackendKey, &BackendEntry),
+        entry: &BackendEntry,
         notice: ServerNotice,
         sent_at: Instant,
     ) {
         match notice.retry_after {
-            Some(wait) => self.record_backoff(key, wait),
-            None => self.fleet().record_response(key, sent_at),
+            Some(wait) => self.record_backoff(entry, wait),
+            None => self.fleet().record_response(entry, sent_at),
         }
-        self.record_announcement(entry, notice);
-    }
-
-    /// Records whether the backend server that registered `entry` announces its departure.
-    pub(crate) fn record_announcement(&self, entry: &BackendEntry, notice: ServerNotice) {
         if notice.is_leaving && self.fleet().record_departure(entry, self.now()) {
             self.handle_departure(entry, "response");
         }
     }
 
-    fn record_backoff(&self, key: BackendKey, wait: Duration) {
-        let mut fleet = self.fleet();
-        if !fleet.record_backoff(key, wait, self.now()) {
+    fn record_backoff(&self, entry: &BackendEntry, wait: Duration) {
+        if !self.fleet().record_backoff(entry, wait, self.now()) {
             return;
         }
         metrics::counter!("gateway_server_backoffs_total").increment(1);
-        if let Some(backend) = fleet.get(key) {
-            log::info!(
-                instance = &*backend.entry.instance,
-                peer:% = backend.entry.address,
-                wait_ms = wait.as_millis() as u64;
-                "backend server wants no requests for some time"
-            );
-        }
+        log::info!(
+            instance = &*entry.instance,
+            peer:% = entry.address,
+            wait_ms = wait.as_millis() as u64;
+            "backend server wants no requests for some time"
+        );
     }
 
     /// Adds the departures that this gateway observed to a heartbeat.
--- a/crates/cactusbarrow_policy/src/backend.rs
+++ b/crates/cactusbarrow_policy/src/backend.rs
@@ -13,7 +13,6 @@
 use crate::outcome::Reason;
 use crate::request_limit::RequestLimit;
 use crate::request_parts::IncarnationId;
-use crate::server_backoff::ServerBackoff;
 use crate::software::{SoftwareId, SoftwareVersion};
 
 new_key_type! {
@@ -145,7 +144,6 @@
     pub(crate) remote_avoiders: u64,
     pub(crate) failures: FailureRate,
     pub(crate) request_limit: Option<RequestLimit>,
-    pub(crate) backoff: Option<ServerBackoff>,
     /// When it announced its departure to this gateway.
     pub(crate) left_at: Option<Instant>,
 }
@@ -196,7 +194,6 @@
             remote_avoiders: 0,
             failures: FailureRate::default(),
             request_limit: None,
-            backoff: None,
             left_at: None,
         }
     }
--- a/crates/cactusbarrow_policy/src/backend_fleet.rs
+++ b/crates/cactusbarrow_policy/src/backend_fleet.rs
@@ -15,6 +15,7 @@
 use crate::fleet_config::FleetConfig;
 use crate::heartbeat::HeartbeatStep;
 use crate::peer_table::PeerLoad;
+use crate::server_backoff::Backoffs;
 use crate::server_departure::Departures;
 use crate::software::SoftwareId;
 
@@ -42,6 +43,7 @@
     pub(crate) zone_losses: HashMap<Arc<str>, Vec<Instant>>,
     pub(crate) unreliable: Vec<BackendKey>,
     pub(crate) departures: Departures,
+    pub(crate) backoffs: Backoffs,
     pub(crate) own_gateway: u64,
     pub(crate) peer_gateways: Vec<u64>,
 }
@@ -136,12 +138,12 @@
         count: usize,
         now: Instant,
         rng: &mut impl Rng,
-    ) -> Vec<(BackendKey, BackendEntry)> {
+    ) -> Vec<BackendEntry> {
         self.backends
-            .iter()
-            .filter(|(_, b)| &*b.entry.service == service && b.tier(now) == Some(0))
-            .filter(|(_, b)| !b.is_backing_off(now))
-            .map(|(key, b)| (key, b.entry.clone()))
+            .values()
+            .filter(|b| &*b.entry.service == service && b.tier(now) == Some(0))
+            .filter(|b| !self.backoffs.is_backing_off(b.incarnation, now))
+            .map(|b| b.entry.clone())
             .sample(rng, count)
     }
 
@@ -314,7 +316,7 @@
     pub fn start_generation(&mut self, engine: BackendKey, work: BackendWork, now: Instant) {
         self.take_token(engine, now);
         if let Some(backend) = self.backends.get_mut(engine) {
-            backend.record_sent(now);
+            self.backoffs.record_sent(backend.incarnation, now);
             backend.restart_heartbeat_if_idle(now);
             backend.in_flight += 1;
             backend.generations += 1;
@@ -364,7 +366,7 @@
     pub fn start_call(&mut self, key: BackendKey, now: Instant) {
         self.take_token(key, now);
         if let Some(backend) = self.backends.get_mut(key) {
-            backend.record_sent(now);
+            self.backoffs.record_sent(backend.incarnation, now);
             backend.restart_heartbeat_if_idle(now);
             backend.in_flight += 1;
         }
@@ -473,7 +475,7 @@
                 Health::Up if backend.generations > 0 => {
                     match backend.heartbeat.poll(&self.cfg.heartbeat, now) {
                         HeartbeatStep::Wait => {}
-                        HeartbeatStep::Probe if !backend.take_probe(now) => {
+                        HeartbeatStep::Probe if !backend.take_probe(&mut self.backoffs, now) => {
                             backend.heartbeat.withhold_probe();
                         }
                         HeartbeatStep::Probe => actions.push(HeartbeatAction::Probe(key)),
@@ -486,7 +488,7 @@
                     cause,
                 } if recheck_at <= now
                     && cause != LossCause::Replaced
-                    && backend.accepts_orders(now)
+                    && backend.accepts_orders(&self.backoffs, now)
                     && (backend.generations > 0 || backend.listing != Listing::Leaving) =>
                 {
                     backend.health = Health::Lost {
--- a/crates/cactusbarrow_policy/src/placement.rs
+++ b/crates/cactusbarrow_policy/src/placement.rs
@@ -53,7 +53,7 @@
         let is_usable = |b: &Backend| {
             software.is_none_or(|software| b.software == software)
                 && self.has_token(b, now)
-                && b.has_backed_off(now)
+                && self.backoffs.has_backed_off(b.incarnation, now)
                 && b.fits(capacity, self.cfg.memory_share, work.memory_tokens)
         };
         self.choose(service, excluded, now, rng, is_usable, |b| {
@@ -90,7 +90,7 @@
         let is_usable = |b: &Backend| {
             b.entry.zone != engine.entry.zone
                 && b.software == engine.software
-                && !b.is_backing_off(now)
+                && !self.backoffs.is_backing_off(b.incarnation, now)
                 && b.fits(capacity, self.cfg.memory_share, work.memory_tokens)
         };
         self.choose(&engine.entry.service, excluded, now, rng, is_usable, |b| {
@@ -115,7 +115,7 @@
             excluded,
             now,
             rng,
-            |b| self.has_token(b, now) && b.has_backed_off(now),
+            |b| self.has_token(b, now) && self.backoffs.has_backed_off(b.incarnation, now),
             |b| {
                 let failures = b.failures.value_at(self.cfg.failure_half_life, now);
                 b.in_flight as f64 + failures * self.cfg.failure_cost
--- a/crates/cactusbarrow_policy/src/request_limit.rs
+++ b/crates/cactusbarrow_policy/src/request_limit.rs
@@ -134,7 +134,9 @@
     pub fn allows_request(&self, key: BackendKey, now: Instant) -> bool {
         let backend = self.backends.get(key);
         backend.is_some_and(|b| {
-            b.tier(now).is_some() && self.has_token(b, now) && b.has_backed_off(now)
+            b.tier(now).is_some()
+                && self.has_token(b, now)
+                && self.backoffs.has_backed_off(b.incarnation, now)
         })
     }
 
@@ -152,7 +154,7 @@
             &*backend.entry.service == service
                 && !excluded.contains(key)
                 && backend.tier(now).is_some()
-                && backend.has_backed_off(now)
+                && self.backoffs.has_backed_off(backend.incarnation, now)
                 && !self.has_token(backend, now)
         });
         let wait = |backend: &Backend| {
--- a/crates/cactusbarrow_policy/src/server_backoff.rs
+++ b/crates/cactusbarrow_policy/src/server_backoff.rs
@@ -1,13 +1,15 @@
 //! Keeps requests from backend servers that declined one and stated for how long they want no more.
 //!
 //! Load pattern: all servers of a small service are under pressure and decline requests at the same
-//! moment; callers that were refused meanwhile return when the stated times end.
+//! moment; callers that were refused meanwhile return when the stated times end. A stated time binds
+//! an incarnation, so it is remembered apart from the server's entry.
 
+use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 use rand::Rng;
 
-use crate::backend::{Backend, BackendKey};
+use crate::backend::{Backend, BackendEntry, BackendKey, ServerIncarnation};
 use crate::backend_fleet::BackendFleet;
 
 /// Time between two requests to a server whose stated time is over, until one has got a response.
@@ -19,9 +21,12 @@
 /// Probes of running work that are sent within one stated time.
 const MAX_PROBES: u32 = 1;
 
+/// Maximum number of stated times that are remembered, about 60 bytes each.
+const MAX_BACKOFFS: usize = 16_384;
+
 /// Time for which a backend server wants no requests from this gateway.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct ServerBackoff {
+struct ServerBackoff {
     until: Instant,
     probes_left: u32,
     /// Last request that was sent to it.
@@ -44,74 +49,116 @@
     }
 }
 
-impl Backend {
-    /// Returns whether it has stated that it wants no requests now.
-    pub(crate) fn is_backing_off(&self, now: Instant) -> bool {
-        self.backoff.is_some_and(|backoff| backoff.until > now)
+/// Times for which backend servers want no requests, until a request after them got a response.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Backoffs {
+    by_server: HashMap<ServerIncarnation, ServerBackoff>,
+}
+
+impl Backoffs {
+    fn get(&self, server: ServerIncarnation) -> Option<&ServerBackoff> {
+        // Mostly no server has stated a time.
+        if self.by_server.is_empty() {
+            return None;
+        }
+        self.by_server.get(&server)
+    }
+
+    /// Returns whether a server has stated that it wants no requests now.
+    pub(crate) fn is_backing_off(&self, server: ServerIncarnation, now: Instant) -> bool {
+        self.get(server).is_some_and(|backoff| backoff.until > now)
     }
 
-    /// Returns the time until it takes a request; zero if it does now.
-    fn backoff_left(&self, now: Instant) -> Duration {
-        let left = |backoff: ServerBackoff| backoff.next_send().saturating_duration_since(now);
-        self.backoff.map_or(Duration::ZERO, left)
+    /// Returns the time until a server takes a request; zero if it does now.
+    fn time_left(&self, server: ServerIncarnation, now: Instant) -> Duration {
+        let left = |backoff: &ServerBackoff| backoff.next_send().saturating_duration_since(now);
+        self.get(server).map_or(Duration::ZERO, left)
     }
 
-    /// Returns whether the time that it stated, if any, allows another request.
-    pub(crate) fn has_backed_off(&self, now: Instant) -> bool {
-        self.backoff_left(now).is_zero()
+    /// Returns whether the time that a server stated, if any, allows another request.
+    pub(crate) fn has_backed_off(&self, server: ServerIncarnation, now: Instant) -> bool {
+        self.time_left(server, now).is_zero()
     }
 
-    /// Records that a request is sent to it.
-    pub(crate) fn record_sent(&mut self, now: Instant) {
-        if let Some(backoff) = &mut self.backoff {
+    /// Records that a request is sent to a server.
+    pub(crate) fn record_sent(&mut self, server: ServerIncarnation, now: Instant) {
+        if let Some(backoff) = self.by_server.get_mut(&server) {
             backoff.last_sent = Some(now);
         }
     }
 
-    /// Decides whether a probe of its running work is sent.
-    pub(crate) fn take_probe(&mut self, now: Instant) -> bool {
-        if self.accepts_orders(now) {
+    /// Decides whether a probe is sent to a server.
+    pub(crate) fn take_probe(&mut self, server: ServerIncarnation, now: Instant) -> bool {
+        let backoff = self.by_server.get_mut(&server);
+        let Some(backoff) = backoff.filter(|backoff| backoff.until > now) else {
             return true;
+        };
+        let is_granted = backoff.probes_left > 0;
+        backoff.probes_left = backoff.probes_left.saturating_sub(1);
+        is_granted
+    }
+
+    /// Records that a server wants no requests until `until`; returns whether it had not stated that
+    /// before.
+    fn record(&mut self, server: ServerIncarnation, until: Instant, now: Instant) -> bool {
+        if let Some(backoff) = self.by_server.get_mut(&server)
+            && backoff.until > now
+        {
+            backoff.until = backoff.until.max(until);
+            return false;
         }
-        let is_leaving = self.left_at.is_some();
-        let backoff = self.backoff.as_mut().filter(|_| !is_leaving);
-        let left = backoff.map(|backoff| &mut backoff.probes_left);
-        left.is_some_and(|left| {
-            let is_granted = *left > 0;
-            *left = left.saturating_sub(1);
-            is_granted
-        })
+        if !self.by_server.contains_key(&server) {
+            self.make_room(now);
+        }
+        self.by_server.insert(server, ServerBackoff::new(until));
+        true
+    }
+
+    fn make_room(&mut self, now: Instant) {
+        if self.by_server.len() < MAX_BACKOFFS {
+            return;
+        }
+        self.by_server.retain(|_, backoff| backoff.until > now);
+        if self.by_server.len() < MAX_BACKOFFS {
+            return;
+        }
+        let mut ends: Vec<Instant> = self.by_server.values().map(|b| b.until).collect();
+        // Several are dropped at once, so that a full table is not searched for each server.
+        let (_, dropped_until, _) = ends.select_nth_unstable(MAX_BACKOFFS / 8);
+        let dropped_until = *dropped_until;
+        self.by_server
+            .retain(|_, backoff| backoff.until > dropped_until);
+    }
+}
+
+impl Backend {
+    /// Decides whether a probe of its running work is sent.
+    pub(crate) fn take_probe(&self, backoffs: &mut Backoffs, now: Instant) -> bool {
+        !self.has_left(now) && backoffs.take_probe(self.incarnation, now)
     }
 }
 
 impl BackendFleet {
-    /// Records that a backend server wants no requests for `wait`; returns whether it had not
-    /// stated that before.
+    /// Records that the backend server that registered this entry wants no requests for `wait`, even
+    /// if the entry is gone; returns whether it had not stated that before.
     ///
     /// The statement that ends last counts: a shorter one, or a successful response, does not take
     /// back what the server asked for before.
-    pub fn record_backoff(&mut self, key: BackendKey, wait: Duration, now: Instant) -> bool {
-        let Some(backend) = self.backends.get_mut(key) else {
-            return false;
-        };
-        let until = now + wait;
-        match &mut backend.backoff {
-            Some(backoff) if backoff.until > now => {
-                backoff.until = backoff.until.max(until);
-                false
-            }
-            backoff => {
-                *backoff = Some(ServerBackoff::new(until));
-                true
-            }
-        }
+    pub fn record_backoff(&mut self, entry: &BackendEntry, wait: Duration, now: Instant) -> bool {
+        let server = ServerIncarnation::of_entry(entry);
+        self.backoffs.record(server, now + wait, now)
     }
 
     /// Records a response that asks for no pause, to a request that was sent at `sent_at`; it ends
     /// the trial after a stated time.
-    pub fn record_response(&mut self, key: BackendKey, sent_at: Instant) {
-        if let Some(backend) = self.backends.get_mut(key) {
-            backend.backoff = backend.backoff.filter(|backoff| backoff.until > sent_at);
+    pub fn record_response(&mut self, entry: &BackendEntry, sent_at: Instant) {
+        if self.backoffs.by_server.is_empty() {
+            return;
+        }
+        let server = ServerIncarnation::of_entry(entry);
+        let is_over = |backoff: &ServerBackoff| backoff.until <= sent_at;
+        if self.backoffs.get(server).is_some_and(is_over) {
+            self.backoffs.by_server.remove(&server);
         }
     }
 
@@ -131,7 +178,9 @@
                 && !excluded.contains(key)
                 && backend.tier(now).is_some()
         });
-        let left = usable.map(|(_, backend)| backend.backoff_left(now)).min()?;
+        let left = usable
+            .map(|(_, backend)| self.backoffs.time_left(backend.incarnation, now))
+            .min()?;
         if left.is_zero() {
             return None;
         }
@@ -142,6 +191,8 @@
     /// Returns whether a request for which a backend server was chosen may still be sent there.
     pub fn is_available(&self, key: BackendKey, now: Instant) -> bool {
         let backend = self.backends.get(key);
-        backend.is_some_and(|b| b.tier(now).is_some() && !b.is_backing_off(now))
+        backend.is_some_and(|b| {
+            b.tier(now).is_some() && !self.backoffs.is_backing_off(b.incarnation, now)
+        })
     }
 }
--- a/crates/cactusbarrow_policy/src/server_departure.rs
+++ b/crates/cactusbarrow_policy/src/server_departure.rs
@@ -9,6 +9,7 @@
 
 use crate::backend::{Backend, BackendEntry, BackendKey, Listing, ServerIncarnation};
 use crate::backend_fleet::BackendFleet;
+use crate::server_backoff::Backoffs;
 
 /// Time after an announcement in which probes and orders for running work are still sent.
 const ORDER_GRACE: Duration = Duration::from_secs(1);
@@ -102,10 +103,15 @@
 }
 
 impl Backend {
-    /// Returns whether orders and probes for its running work may be sent.
-    pub(crate) fn accepts_orders(&self, now: Instant) -> bool {
-        let has_left = |at: Instant| now.saturating_duration_since(at) >= ORDER_GRACE;
-        !self.left_at.is_some_and(has_left) && !self.is_backing_off(now)
+    /// Returns whether it announced its departure so long ago that it gets no more orders and probes.
+    pub(crate) fn has_left(&self, now: Instant) -> bool {
+        let is_long_ago = |at: Instant| now.saturating_duration_since(at) >= ORDER_GRACE;
+        self.left_at.is_some_and(is_long_ago)
+    }
+
+    /// Returns whether orders for its running work may be sent.
+    pub(crate) fn accepts_orders(&self, backoffs: &Backoffs, now: Instant) -> bool {
+        !self.has_left(now) && !backoffs.is_backing_off(self.incarnation, now)
     }
 }
 
@@ -177,7 +183,7 @@
     /// Returns whether orders and probes for running work may be sent to a backend server.
     pub fn accepts_orders(&self, key: BackendKey, now: Instant) -> bool {
         let backend = self.backends.get(key);
-        backend.is_some_and(|backend| backend.accepts_orders(now))
+        backend.is_some_and(|backend| backend.accepts_orders(&self.backoffs, now))
     }
 
     /// Gives the backend servers of a departed incarnation no new work from now on; returns one that
--- a/crates/cactusbarrow_policy/tests/backend_fleet.rs
+++ b/crates/cactusbarrow_policy/tests/backend_fleet.rs
@@ -556,7 +556,7 @@
     for seed in 0..20 {
         let drawn = fleet.draw_healthy(SERVICE, 10, now, &mut rng(seed));
         assert_eq!(drawn.len(), 10);
-        assert!(drawn.iter().all(|(_, entry)| &*entry.instance != "i-7"));
+        assert!(drawn.iter().all(|entry| &*entry.instance != "i-7"));
     }
     assert_eq!(fleet.draw_healthy(SERVICE, 100, now, &mut rng(1)).len(), 59);
 }
--- a/crates/cactusbarrow_policy/tests/server_backoff.rs
+++ b/crates/cactusbarrow_policy/tests/server_backoff.rs
@@ -112,16 +112,18 @@
             });
         }
         for exchange in exchanges.extract_if(.., |exchange| exchange.responds_at <= now) {
-            let server = &mut servers[index_of(exchange.key)];
+            let index = index_of(exchange.key);
+            let server = &mut servers[index];
+            let entry = entry(index as u16, 1);
             server.arrivals.push(exchange.arrives_at);
             fleet.end_call(exchange.key);
             if rng.next_u64() % 4 == 0 {
                 let wait = Duration::from_millis(1 + rng.next_u64() % 8_000);
                 let stated_at = exchange.responds_at;
                 server.stated.push((stated_at, stated_at + wait));
-                fleet.record_backoff(exchange.key, wait, now);
+                fleet.record_backoff(&entry, wait, now);
             } else {
-                fleet.record_response(exchange.key, exchange.sent_at);
+                fleet.record_response(&entry, exchange.sent_at);
                 fleet.record_alive(exchange.key, now);
             }
         }
@@ -151,8 +153,8 @@
     let stated = Duration::from_secs(2);
     let mut fleets: Vec<_> = (0..gateways).map(|_| fleet_of(2, start)).collect();
     for (fleet, keys) in &mut fleets {
-        for key in keys {
-            fleet.record_backoff(*key, stated, start);
+        for i in 0..keys.len() {
+            fleet.record_backoff(&entry(i as u16, 1), stated, start);
         }
     }
     let mut returns: Vec<(Instant, usize)> = Vec::new();
@@ -204,12 +206,12 @@
     let start = Instant::now();
     let at = |ms| start + Duration::from_millis(ms);
     let (mut fleet, keys) = fleet_of(1, start);
-    assert!(fleet.record_backoff(keys[0], Duration::from_secs(3), start));
-    assert!(!fleet.record_backoff(keys[0], Duration::from_secs(1), at(500)));
-    fleet.record_response(keys[0], at(600));
+    assert!(fleet.record_backoff(&entry(0, 1), Duration::from_secs(3), start));
+    assert!(!fleet.record_backoff(&entry(0, 1), Duration::from_secs(1), at(500)));
+    fleet.record_response(&entry(0, 1), at(600));
     assert!(!fleet.allows_request(keys[0], at(2_990)));
     assert!(fleet.allows_request(keys[0], at(3_000)));
-    fleet.record_backoff(keys[0], Duration::from_secs(5), at(2_000));
+    fleet.record_backoff(&entry(0, 1), Duration::from_secs(5), at(2_000));
     assert!(!fleet.allows_request(keys[0], at(6_990)), "a longer one");
 }
 
@@ -218,22 +220,22 @@
     let start = Instant::now();
     let at = |ms| start + Duration::from_millis(ms);
     let (mut fleet, keys) = fleet_of(1, start);
-    fleet.record_backoff(keys[0], Duration::from_secs(1), start);
+    fleet.record_backoff(&entry(0, 1), Duration::from_secs(1), start);
     fleet.start_call(keys[0], at(1_000));
     assert!(!fleet.allows_request(keys[0], at(1_050)), "one trial");
     assert!(fleet.allows_request(keys[0], at(1_100)), "the next one");
     fleet.start_call(keys[0], at(1_100));
-    fleet.record_response(keys[0], at(900));
+    fleet.record_response(&entry(0, 1), at(900));
     assert!(!fleet.allows_request(keys[0], at(1_150)), "an old response");
-    fleet.record_response(keys[0], at(1_000));
+    fleet.record_response(&entry(0, 1), at(1_000));
     assert!(fleet.allows_request(keys[0], at(1_150)));
 }
 
 #[test]
 fn next_incarnation_is_not_bound() {
     let now = Instant::now();
-    let (mut fleet, keys) = fleet_of(1, now);
-    fleet.record_backoff(keys[0], Duration::from_secs(600), now);
+    let (mut fleet, _) = fleet_of(1, now);
+    fleet.record_backoff(&entry(0, 1), Duration::from_secs(600), now);
     fleet.record_entry(entry(0, 1), now);
     assert!(wait(&fleet, now).is_some(), "the same incarnation is");
     fleet.record_entry(entry(0, 2), now);
@@ -241,12 +243,65 @@
     assert!(chosen(&fleet, now, &mut StdRng::seed_from_u64(1)).is_some());
 }
 
+/// Guards against a stated time that ends with the server's entry, or that needs one.
+#[test]
+fn stated_time_outlasts_the_entry() {
+    let now = Instant::now();
+    let later = now + Duration::from_secs(5);
+    let rng = &mut StdRng::seed_from_u64(1);
+    for (is_open, is_stated_last) in [(false, false), (false, true), (true, false), (true, true)] {
+        let (mut fleet, keys) = fleet_of(1, now);
+        if is_open {
+            fleet.start_call(keys[0], now);
+        }
+        if !is_stated_last {
+            fleet.record_backoff(&entry(0, 1), Duration::from_secs(10), now);
+        }
+        fleet.remove_instance("app-0");
+        if is_stated_last {
+            fleet.record_backoff(&entry(0, 1), Duration::from_secs(10), now);
+        }
+        fleet.record_entry(entry(0, 1), now);
+        let case = format!("open {is_open}, stated last {is_stated_last}");
+        assert_eq!(chosen(&fleet, later, rng), None, "{case}");
+        assert!(
+            wait(&fleet, later) >= Some(Duration::from_secs(5)),
+            "{case}"
+        );
+        fleet.record_missing("app-0", later);
+        fleet.expire_missing(true, later);
+        fleet.record_entry(entry(0, 1), later);
+        assert_eq!(chosen(&fleet, later, rng), None, "{case}: expired");
+        let end = now + Duration::from_secs(10);
+        assert!(chosen(&fleet, end, rng).is_some(), "{case}");
+        fleet.record_entry(entry(0, 2), later);
+        assert!(
+            chosen(&fleet, later, rng).is_some(),
+            "{case}: incarnation 2"
+        );
+    }
+}
+
+/// Guards against memory that grows with each server that ever stated a time.
+#[test]
+fn times_that_end_last_are_kept_when_memory_is_full() {
+    let now = Instant::now();
+    let mut fleet = BackendFleet::new(FleetConfig::default());
+    fleet.record_backoff(&entry(1, 1), Duration::from_secs(600), now);
+    for i in 0..40_000 {
+        let wait = Duration::from_secs(1 + i % 500);
+        fleet.record_backoff(&entry(2, 10 + i), wait, now);
+    }
+    fleet.record_entry(entry(1, 1), now);
+    assert!(chosen(&fleet, now, &mut StdRng::seed_from_u64(1)).is_none());
+}
+
 #[test]
 fn refused_callers_are_told_the_shortest_time_left() {
     let now = Instant::now();
-    let (mut fleet, keys) = fleet_of(3, now);
-    fleet.record_backoff(keys[0], Duration::from_secs(20), now);
-    fleet.record_backoff(keys[1], Duration::from_secs(4), now);
+    let (mut fleet, _) = fleet_of(3, now);
+    fleet.record_backoff(&entry(0, 1), Duration::from_secs(20), now);
+    fleet.record_backoff(&entry(1, 1), Duration::from_secs(4), now);
     assert_eq!(wait(&fleet, now), None, "one server takes requests");
     let departed = fleet.record_departure(&entry(2, 1), now);
     assert!(departed);
@@ -264,6 +319,6 @@
         fleet.choose_copy_holder(keys[0], 0, BackendWork::default(), &[], now, rng)
     };
     assert_eq!(holder(&fleet), Some(keys[1]));
-    fleet.record_backoff(keys[1], Duration::from_secs(2), now);
+    fleet.record_backoff(&entry(1, 1), Duration::from_secs(2), now);
     assert_eq!(holder(&fleet), None);
 }
