Heed Retry-After in a response to an identity check that names no instance

A lost backend server that declined identity checks with 503 and Retry-After got one each second all the same: more than two requests within its stated time. Cause: the response names its instance only while the server is healthy, and one without a name was ignored whole. Change: a stated time in such a response is kept for the server that was asked. An announcement of a departure still needs the name, since it is final. Why it works: polls of lost servers already leave out those in their stated time; they only never knew it. If another server answers at that address, it gets requests under its own incarnation.

--- a/crates/cactusbarrow_gateway/src/backend_probes.rs
+++ b/crates/cactusbarrow_gateway/src/backend_probes.rs
@@ -95,14 +95,14 @@
         // The backend server stays lost until the next check.
         Ok(Err(_)) | Err(_) => return,
     };
+    let notice = decode_server_notice(head.status, &head.headers);
     match decode_instance(&head.headers) {
         Some(instance) if instance == *entry.instance => {
-            let notice = decode_server_notice(head.status, &head.headers);
             shared.record_notice(&entry, notice, sent_at);
             shared.record_alive(key);
         }
         Some(_) => shared.record_loss(key, LossCause::Replaced, "ask for identity"),
-        None => {}
+        None => shared.record_unnamed_notice(&entry, notice),
     }
 }
 
--- a/crates/cactusbarrow_gateway/src/server_notices.rs
+++ b/crates/cactusbarrow_gateway/src/server_notices.rs
@@ -31,6 +31,15 @@
         }
     }
 
+    /// Records what a server at the address of `entry` states without naming its instance.
+    ///
+    /// No other one is known there, so a stated time is kept; a departure is final and needs a name.
+    pub(crate) fn record_unnamed_notice(&self, entry: &BackendEntry, notice: ServerNotice) {
+        if let Some(wait) = notice.retry_after {
+            self.record_backoff(entry, wait);
+        }
+    }
+
     fn record_backoff(&self, entry: &BackendEntry, wait: Duration) {
         if !self.fleet().record_backoff(entry, wait, self.now()) {
             return;
