Send few checks for an engine's end within its stated wait

After a broken call to a server that had asked for no requests, three checks whether it has ended reached it for each call, more than the two that are tolerated. Cause: these checks asked no one; probes of running work have one request in a stated time, and only those. Change: probes and checks share that one request, and a check that is not granted counts as unclear. The connection is still opened, since a refused one shows the end without a request. A declined check is recorded like a declined identity check. Why it works: every request that a gateway sends by itself to a server in its stated time now takes the one permit of that time, or none.

--- a/crates/cactusbarrow_gateway/src/engine_end.rs
+++ b/crates/cactusbarrow_gateway/src/engine_end.rs
@@ -63,20 +63,28 @@
     let Some(spec) = spec else {
         return EndCheck::Unclear;
     };
+    let sent_at = shared.now();
+    if !shared.fleet().take_check(engine, sent_at) {
+        return EndCheck::Unclear;
+    }
     metrics::counter!("gateway_identity_checks_total").increment(1);
     let req = instance_request(&engine.address.to_string(), &spec.health_path);
-    let sent_at = shared.now();
     let exchange = conn.send("check engine end", req);
     match tokio::time::timeout(END_CHECK_TIMEOUT, exchange).await {
-        Ok(Ok(res)) => match decode_instance(&res.head.headers) {
-            Some(instance) if instance == *engine.instance => {
-                let notice = decode_server_notice(res.head.status, &res.head.headers);
-                shared.record_notice(engine, notice, sent_at);
-                EndCheck::Running
+        Ok(Ok(res)) => {
+            let notice = decode_server_notice(res.head.status, &res.head.headers);
+            match decode_instance(&res.head.headers) {
+                Some(instance) if instance == *engine.instance => {
+                    shared.record_notice(engine, notice, sent_at);
+                    EndCheck::Running
+                }
+                Some(_) => EndCheck::Ended,
+                None => {
+                    shared.record_unnamed_notice(engine, notice);
+                    EndCheck::Unclear
+                }
             }
-            Some(_) => EndCheck::Ended,
-            None => EndCheck::Unclear,
-        },
+        }
         Ok(Err(_)) => EndCheck::Closed,
         Err(_) => EndCheck::Unclear,
     }
--- a/crates/cactusbarrow_policy/src/server_backoff.rs
+++ b/crates/cactusbarrow_policy/src/server_backoff.rs
@@ -18,7 +18,7 @@
 /// Longest time over which the returns of refused callers are spread.
 const MAX_RETURN_SPREAD: Duration = Duration::from_secs(1);
 
-/// Probes of running work that are sent within one stated time.
+/// Probes and checks that are sent within one stated time.
 const MAX_PROBES: u32 = 1;
 
 /// Maximum number of stated times that are remembered, about 60 bytes each.
@@ -162,6 +162,13 @@
         }
     }
 
+    /// Decides whether a check is sent to the backend server that registered this entry; within a
+    /// stated time it takes the place of a probe.
+    pub fn take_check(&mut self, entry: &BackendEntry, now: Instant) -> bool {
+        let server = ServerIncarnation::of_entry(entry);
+        self.backoffs.take_probe(server, now)
+    }
+
     /// Draws the time after which a refused request may return, if all usable backend servers of
     /// its service have stated that they want no requests now; `excluded` ones are left out.
     ///
--- a/crates/cactusbarrow_policy/tests/server_backoff.rs
+++ b/crates/cactusbarrow_policy/tests/server_backoff.rs
@@ -243,6 +243,19 @@
     assert!(chosen(&fleet, now, &mut StdRng::seed_from_u64(1)).is_some());
 }
 
+#[test]
+fn probes_and_checks_share_one_request_of_a_stated_time() {
+    let now = Instant::now();
+    let (mut fleet, _) = fleet_of(1, now);
+    let server = entry(0, 1);
+    assert!(fleet.take_check(&server, now));
+    assert!(fleet.take_check(&server, now), "no time is stated");
+    fleet.record_backoff(&server, Duration::from_secs(3), now);
+    assert!(fleet.take_check(&server, now));
+    assert!(!fleet.take_check(&server, now + Duration::from_secs(2)));
+    assert!(fleet.take_check(&server, now + Duration::from_secs(3)));
+}
+
 /// Guards against a stated time that ends with the server's entry, or that needs one.
 #[test]
 fn stated_time_outlasts_the_entry() {
