Ask once more before orders, identity checks and searches are sent

What it stated in the response to a release was not read. Change: they ask the fleet again when the connection is open, as calls and generations do, and all responses are recorded in one place. Not seen by callers. No test of its own, because the race is as short as a connect; the questions asked are those that stated_times_are_kept_beside_probes_and_late_responses replays.

--- a/crates/cactusbarrow_gateway/src/backend_probes.rs
+++ b/crates/cactusbarrow_gateway/src/backend_probes.rs
@@ -86,9 +86,13 @@
     metrics::counter!("gateway_identity_checks_total").increment(1);
     let sent_at = shared.now();
     let exchange = async {
+        const STEP: &str = "ask for identity";
         let conn = BackendConnection::open(entry.address, EXCHANGE_TIMEOUT).await?;
+        if !shared.fleet().accepts_orders(key, shared.now()) {
+            return Err(NetError::new(STEP, entry.address, "server wants no checks"));
+        }
         let req = instance_request(&entry.address.to_string(), &spec.health_path);
-        conn.send("ask for identity", req).await
+        conn.send(STEP, req).await
     };
     let head = match tokio::time::timeout(EXCHANGE_TIMEOUT, exchange).await {
         Ok(Ok(res)) => res.head,
--- a/crates/cactusbarrow_gateway/src/generation/copy_manager.rs
+++ b/crates/cactusbarrow_gateway/src/generation/copy_manager.rs
@@ -6,16 +6,16 @@
 use cactusbarrow_adapter::{
     CopyLocation, MemoryCopy, copy_request, decode_copy, decode_server_notice, release_request,
 };
-use cactusbarrow_net::{Clock, NetError, collect_limited};
+use cactusbarrow_net::{Body, Clock, NetError, collect_limited};
 use cactusbarrow_policy::{
     BackendEntry, BackendKey, BackendWork, CopyAction, CopyConfig, CopyPlan,
 };
-use http::StatusCode;
+use http::{Request, StatusCode};
 use tokio::task::JoinError;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::AbortOnDropHandle;
 
-use crate::backend_connection::BackendConnection;
+use crate::backend_connection::{BackendConnection, StreamingResponse};
 use crate::shared::Shared;
 
 /// Time-out of a connect to the engine that runs the generation.
@@ -157,7 +157,8 @@
         if let Some(ordered_copy) = holder.and_then(|holder| holder.ordered_copy.clone())
             && self.accepts_orders()
         {
-            tokio::spawn(send_release(ordered_copy));
+            let engine = (self.key, self.engine.clone());
+            tokio::spawn(send_release(self.shared.clone(), engine, ordered_copy));
         }
     }
 
@@ -236,7 +237,7 @@
         metrics::counter!("gateway_memory_copies_total").increment(1);
         let order = tokio::spawn(send_copy_order(
             self.shared.clone(),
-            self.engine.clone(),
+            (self.key, self.engine.clone()),
             holder.entry.clone(),
             request_id.to_owned(),
         ));
@@ -284,17 +285,37 @@
     result.unwrap_or_else(|e| Err(NetError::new("copy memory", engine.address, e)))
 }
 
+/// Sends an order to an engine, unless it wants none by the time that the connection is open.
+async fn send_order<C: Clock>(
+    shared: &Shared<C>,
+    (key, engine): (BackendKey, &BackendEntry),
+    step: &'static str,
+    req: Request<Body>,
+) -> Result<StreamingResponse, NetError> {
+    let conn = BackendConnection::open(engine.address, CONNECT_TIMEOUT).await?;
+    let sent_at = shared.now();
+    if !shared.fleet().accepts_orders(key, sent_at) {
+        return Err(NetError::new(
+            step,
+            engine.address,
+            "engine wants no orders",
+        ));
+    }
+    let response = conn.send(step, req).await?;
+    let notice = decode_server_notice(response.head.status, &response.head.headers);
+    shared.record_notice(engine, notice, sent_at);
+    Ok(response)
+}
+
 /// Requests that the engine that made a copy release it.
-async fn send_release(ordered_copy: CopyLocation) {
+async fn send_release<C: Clock>(
+    shared: Arc<Shared<C>>,
+    (key, engine): (BackendKey, BackendEntry),
+    ordered_copy: CopyLocation,
+) {
     const STEP: &str = "release memory";
-    let exchange = async {
-        let conn = BackendConnection::open(ordered_copy.owner, CONNECT_TIMEOUT).await?;
-        conn.send(
-            STEP,
-            release_request(ordered_copy.owner, &ordered_copy.copy),
-        )
-        .await
-    };
+    let req = release_request(ordered_copy.owner, &ordered_copy.copy);
+    let exchange = send_order(&shared, (key, &engine), STEP, req);
     let result = tokio::time::timeout(COPY_TIMEOUT, exchange).await;
     if !matches!(result, Ok(Ok(_))) {
         // The engine releases it by itself after a while.
@@ -305,18 +326,15 @@
 /// Orders an engine to copy a generation's memory to `to`, and waits until it is done.
 async fn send_copy_order<C: Clock>(
     shared: Arc<Shared<C>>,
-    engine: BackendEntry,
+    (key, engine): (BackendKey, BackendEntry),
     to: BackendEntry,
     request_id: String,
 ) -> CopyResult {
     const STEP: &str = "copy memory";
     let exchange = async {
-        let conn = BackendConnection::open(engine.address, CONNECT_TIMEOUT).await?;
         let req = copy_request(engine.address, &request_id, to.address);
-        let sent_at = shared.now();
-        let (head, body, _driver) = conn.send(STEP, req).await?.into_parts();
-        let notice = decode_server_notice(head.status, &head.headers);
-        shared.record_notice(&engine, notice, sent_at);
+        let response = send_order(&shared, (key, &engine), STEP, req).await?;
+        let (head, body, _driver) = response.into_parts();
         if head.status != StatusCode::OK {
             let status = format!("status {}", head.status);
             return Err(NetError::new(STEP, engine.address, status));
--- a/crates/cactusbarrow_gateway/src/prompt_search.rs
+++ b/crates/cactusbarrow_gateway/src/prompt_search.rs
@@ -99,6 +99,14 @@
     let address = entry.address;
     let conn = BackendConnection::open(address, SEARCH_TIMEOUT).await?;
     let sent_at = shared.now();
+    let is_available = {
+        let fleet = shared.fleet();
+        let key = fleet.key_of(&entry.instance);
+        key.is_some_and(|key| fleet.is_available(key, sent_at))
+    };
+    if !is_available {
+        return Err(NetError::new(STEP, address, "engine wants no requests"));
+    }
     let req = cached_parts_request(&address.to_string());
     let (head, body, _driver) = conn.send(STEP, req).await?.into_parts();
     let notice = decode_server_notice(head.status, &head.headers);
