Keep the time of an announcement when its record was dropped, and correct comments

A peer's report of a departure whose own record had made room for newer ones reset the time since which orders are withheld. Found in the review; not seen.

--- a/crates/cactusbarrow_gateway/src/peers.rs
+++ b/crates/cactusbarrow_gateway/src/peers.rs
@@ -379,8 +379,8 @@
     }
 }
 
-/// Fetches the list of backend servers from peers that have a newer one, at any time from several if
-/// some of them are silent.
+/// Fetches the list of backend servers from peers that have a newer one; further peers are asked while
+/// one is silent.
 async fn sync_servers<C: Clock>(shared: Arc<Shared<C>>) {
     let http = HttpClient::new(HttpVersion::Http1);
     let mut fetches = PeerFetches::new(PeerFetchConfig::default());
@@ -476,7 +476,7 @@
     peers.newest_config(version, now, &mut *shared.rng())
 }
 
-/// Fetches what a peer has beyond `known`, and logs a failure.
+/// Fetches what a peer has beyond `known`; the result is logged.
 async fn fetch_knowledge<C: Clock>(
     http: &HttpClient,
     shared: &Shared<C>,
@@ -673,8 +673,8 @@
         servers_revision: position.revision,
         instances,
         missing: missing.into_iter().map(|(instance, _)| instance).collect(),
-        // Zero states no time.
         departures,
+        // Zero states no time.
         missing_ms: missing_for.as_millis().clamp(1, u32::MAX.into()) as u32,
     }
 }
--- a/crates/cactusbarrow_policy/src/server_departure.rs
+++ b/crates/cactusbarrow_policy/src/server_departure.rs
@@ -195,7 +195,7 @@
             if backend.incarnation != id {
                 continue;
             }
-            backend.left_at = announced_at;
+            backend.left_at = backend.left_at.or(announced_at);
             if backend.listing != Listing::Leaving {
                 backend.listing = Listing::Leaving;
                 self.unreliable.push(key);
