Ask further peers for the configuration while one is silent

A gateway that does not reach the store got no configuration for as long as one peer claimed a newer one and was silent: in a test, none in 10 s. It is the same cause as for the list of backend servers, which was mended before: one request at a time, always to the highest claim. Change: both are fetched by one loop, with PeerFetches for each. For the configuration a second peer is asked after a second, because a transfer may take that long on a slow link, and a large one is still read from the store once at a time. Why it works: a peer that is being asked or has just brought nothing new is left out of the draw, so the next highest claim is asked. configuration_reaches_a_gateway_beside_a_silent_peer_with_a_newer_claim failed in 2 of 2 runs before and passed in 4 of 4 now; the tests of restores and large configurations pass unchanged.

--- a/crates/cactusbarrow_gateway/src/peers.rs
+++ b/crates/cactusbarrow_gateway/src/peers.rs
@@ -349,41 +349,59 @@
 /// Fetches the configuration from peers that have a newer one.
 async fn sync_configuration<C: Clock>(shared: Arc<Shared<C>>, store: StoreClient) {
     let http = HttpClient::new(HttpVersion::Http1);
-    loop {
-        tokio::time::sleep(PEER_SYNC_INTERVAL).await;
-        if choose_configured_peer(&shared).is_none() {
-            continue;
-        }
-        if shared.is_watcher(shared.now()) {
-            tokio::time::sleep(WATCHER_DELAY).await;
-        }
-        let Some(peer) = choose_configured_peer(&shared) else {
-            continue;
-        };
-        if is_large_config(&shared, peer) {
-            match store_sync::read_configuration(&shared, &store).await {
-                Ok(()) if !is_large_config(&shared, peer) => continue,
-                Ok(()) => log::info!(peer:% = peer; "store lacks the configuration of a peer"),
-                Err(e) => log::info!(step = e.step; "large configuration not read: {e}"),
-            }
-        }
-        let known = KnowledgeRequest {
-            config_version: shared.version().0,
-            ..NOTHING_NEWER
-        };
-        if let Some(knowledge) = fetch_knowledge(&http, &shared, peer, known).await
-            && let Some(config) = knowledge.config
-        {
+    let fetch = |peer| fetch_configuration(http.clone(), shared.clone(), store.clone(), peer);
+    let choose = |fetches: &PeerFetches, now| {
+        let version = shared.version().0;
+        let peer = shared
+            .peers()
+            .newest_config(version, now, &mut *shared.rng(), |ip| {
+                fetches.is_candidate(ip, now)
+            });
+        // A large one is read from the store, and a second read would delay the first.
+        peer.filter(|peer| fetches.is_idle() || !is_large_config(&shared, *peer))
+    };
+    let apply = |peer, knowledge: Option<GatewayKnowledge>| {
+        if let Some(config) = knowledge.and_then(|knowledge| knowledge.config) {
             store_sync::apply_peer_configuration(&shared, item_from_wire(config), &peer);
         }
-    }
+        let version = shared.version().0;
+        shared.peers().newer_config_bytes(peer, version).is_none()
+    };
+    let cfg = PeerFetchConfig::for_configuration();
+    sync_from_peers(&shared, cfg, choose, fetch, apply).await;
 }
 
-/// Fetches the list of backend servers from peers that have a newer one; further peers are asked while
-/// one is silent.
+/// Fetches the list of backend servers from peers that have a newer one.
 async fn sync_servers<C: Clock>(shared: Arc<Shared<C>>) {
     let http = HttpClient::new(HttpVersion::Http1);
-    let mut fetches = PeerFetches::new(PeerFetchConfig::default());
+    let fetch = |peer| fetch_servers(http.clone(), shared.clone(), peer);
+    let choose = |fetches: &PeerFetches, now| {
+        let position = shared.servers_position();
+        let peers = shared.peers();
+        peers.newest_servers(position, now, &mut *shared.rng(), |ip| {
+            fetches.is_candidate(ip, now)
+        })
+    };
+    let apply = |peer, knowledge| apply_servers(&shared, peer, knowledge);
+    let cfg = PeerFetchConfig::default();
+    sync_from_peers(&shared, cfg, choose, fetch, apply).await;
+}
+
+/// Fetches data from peers that are ahead of this gateway, which may not reach the store or not watch
+/// it; further peers are asked while one is silent.
+///
+/// `choose` draws a peer that is ahead, and `apply` returns whether its response brought something new.
+async fn sync_from_peers<C, F>(
+    shared: &Shared<C>,
+    cfg: PeerFetchConfig,
+    choose: impl Fn(&PeerFetches, Instant) -> Option<Ipv4Addr>,
+    fetch: impl Fn(Ipv4Addr) -> F,
+    apply: impl Fn(Ipv4Addr, Option<GatewayKnowledge>) -> bool,
+) where
+    C: Clock,
+    F: Future<Output = Option<GatewayKnowledge>> + Send + 'static,
+{
+    let mut fetches = PeerFetches::new(cfg);
     let mut running = JoinSet::new();
     let mut behind_since = None;
     loop {
@@ -392,50 +410,71 @@
             Some(fetched) = running.join_next() => {
                 match fetched {
                     Ok((peer, knowledge)) => {
-                        let is_newer = apply_servers(&shared, peer, knowledge);
+                        let is_newer = apply(peer, knowledge);
                         fetches.record_end(peer, is_newer, shared.now());
                     }
                     Err(e) => {
                         log::error!("knowledge not fetched from a peer: {e}");
-                        fetches = PeerFetches::new(PeerFetchConfig::default());
+                        fetches = PeerFetches::new(cfg);
                     }
                 }
                 continue;
             }
         }
         let now = shared.now();
-        let position = shared.servers_position();
-        let peer = shared
-            .peers()
-            .newest_servers(position, now, &mut *shared.rng(), |ip| {
-                fetches.is_candidate(ip, now)
-            });
-        let Some(peer) = peer else {
+        let Some(peer) = choose(&fetches, now) else {
             behind_since = None;
             continue;
         };
         let since = *behind_since.get_or_insert(now);
         let is_expected_from_store =
             now.saturating_duration_since(since) < WATCHER_DELAY && shared.is_watcher(now);
-        if is_expected_from_store || !fetches.may_start(now) {
-            continue;
+        if !is_expected_from_store && fetches.may_start(now) {
+            fetches.record_start(peer, now);
+            let fetched = fetch(peer);
+            running.spawn(async move { (peer, fetched.await) });
+        }
+    }
+}
+
+/// Fetches a peer's configuration, or reads it from the store if it is large.
+async fn fetch_configuration<C: Clock>(
+    http: HttpClient,
+    shared: Arc<Shared<C>>,
+    store: StoreClient,
+    peer: Ipv4Addr,
+) -> Option<GatewayKnowledge> {
+    if is_large_config(&shared, peer) {
+        match store_sync::read_configuration(&shared, &store).await {
+            Ok(()) if !is_large_config(&shared, peer) => return None,
+            Ok(()) => log::info!(peer:% = peer; "store lacks the configuration of a peer"),
+            Err(e) => log::info!(step = e.step; "large configuration not read: {e}"),
         }
-        fetches.record_start(peer, now);
-        let (http, shared) = (http.clone(), shared.clone());
-        running.spawn(async move {
-            let version = shared.version().0;
-            // Only a configuration that was written again after a restore comes with the list; a
-            // newer one may be large.
-            let has_newer_config = shared.peers().newer_config_bytes(peer, version).is_some();
-            let known = KnowledgeRequest {
-                config_version: if has_newer_config { u64::MAX } else { version },
-                store_era: position.era.0,
-                servers_revision: position.revision,
-                wants_departures: false,
-            };
-            (peer, fetch_knowledge(&http, &shared, peer, known).await)
-        });
     }
+    let known = KnowledgeRequest {
+        config_version: shared.version().0,
+        ..NOTHING_NEWER
+    };
+    fetch_knowledge(&http, &shared, peer, known).await
+}
+
+/// Fetches a peer's list of backend servers.
+async fn fetch_servers<C: Clock>(
+    http: HttpClient,
+    shared: Arc<Shared<C>>,
+    peer: Ipv4Addr,
+) -> Option<GatewayKnowledge> {
+    let (version, position) = (shared.version().0, shared.servers_position());
+    // Only a configuration that was written again after a restore comes with the list; a newer one
+    // may be large.
+    let has_newer_config = shared.peers().newer_config_bytes(peer, version).is_some();
+    let known = KnowledgeRequest {
+        config_version: if has_newer_config { u64::MAX } else { version },
+        store_era: position.era.0,
+        servers_revision: position.revision,
+        wants_departures: false,
+    };
+    fetch_knowledge(&http, &shared, peer, known).await
 }
 
 /// Learns the departures that peers know, once after the start: their heartbeats report only those that
@@ -469,13 +508,6 @@
     bytes.is_some_and(|bytes| bytes >= LARGE_CONFIG_BYTES)
 }
 
-/// Draws a peer whose configuration is newer than this gateway's.
-fn choose_configured_peer<C: Clock>(shared: &Shared<C>) -> Option<Ipv4Addr> {
-    let (now, version) = (shared.now(), shared.version().0);
-    let peers = shared.peers();
-    peers.newest_config(version, now, &mut *shared.rng())
-}
-
 /// Fetches what a peer has beyond `known`; the result is logged.
 async fn fetch_knowledge<C: Clock>(
     http: &HttpClient,
--- a/crates/cactusbarrow_gateway/tests/late_departures.rs
+++ b/crates/cactusbarrow_gateway/tests/late_departures.rs
@@ -5,10 +5,10 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use cactusbarrow_adapter_standins::{StoreMode, StoreStandin};
+use cactusbarrow_adapter_standins::{StoreMode, StoreStandin, config_json};
 use cactusbarrow_protocol::generated::GatewayHeartbeat;
 use common::cut_proxy::CutProxy;
-use common::{Gateway, TestCluster, caller_head, eventually, free_ports, zone};
+use common::{Gateway, KEY, TestCluster, caller_head, eventually, free_ports, zone};
 use prost::Message;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, UdpSocket};
@@ -171,10 +171,8 @@
     });
 }
 
-/// Guards against a gateway that waits for one peer, which is silent or wrong about what it knows,
-/// while others could tell it of a departure.
-#[tokio::test]
-async fn drain_reaches_a_gateway_beside_a_silent_peer_with_a_newer_claim() {
+/// Starts a gateway, one that has no access to the store, and a silent peer of the second.
+async fn gateways_beside_a_silent_peer() -> (TestCluster, Gateway, Gateway) {
     let cluster = TestCluster::start(0).await;
     let base = free_ports("127.0.0.1");
     let first = cluster.gateway("127.0.0.1", base, "127.0.0.2").await;
@@ -187,9 +185,29 @@
     let addr = |ip: [u8; 4]| SocketAddr::from((ip, base + 2));
     start_silent_peer(addr([127, 0, 0, 3]), addr([127, 0, 0, 2])).await;
     tokio::time::sleep(Duration::from_secs(1)).await;
+    (cluster, first, second)
+}
+
+/// Guards against a gateway that waits for one peer, which is silent or wrong about what it knows,
+/// while others could tell it of a departure.
+#[tokio::test]
+async fn drain_reaches_a_gateway_beside_a_silent_peer_with_a_newer_claim() {
+    let (cluster, _first, second) = gateways_beside_a_silent_peer().await;
     cluster.put_entry(&cluster.apps[0], "app", zone(0), "draining");
     eventually("the drain is known", || {
         second.handle.status().backends == 1
     })
     .await;
 }
+
+/// Guards against a configuration that does not arrive because one peer, which claims a newer one, is
+/// silent.
+#[tokio::test]
+async fn configuration_reaches_a_gateway_beside_a_silent_peer_with_a_newer_claim() {
+    let (cluster, _first, second) = gateways_beside_a_silent_peer().await;
+    cluster.store.put("op/config", &config_json(8, &[KEY]));
+    eventually("the version is adopted", || {
+        second.handle.status().version.0 == 8
+    })
+    .await;
+}
--- a/crates/cactusbarrow_policy/src/peer_fetches.rs
+++ b/crates/cactusbarrow_policy/src/peer_fetches.rs
@@ -1,6 +1,6 @@
-//! Decides when the list of backend servers is asked of another peer.
+//! Decides when another peer is asked for the list of backend servers or the configuration.
 //!
-//! Load pattern: a peer that has the newest list is cut off, slow or wrong about what it has, while
+//! Load pattern: a peer that has the newest data is cut off, slow or wrong about what it has, while
 //! backend servers leave. Another peer is asked before that one has failed.
 
 use std::net::Ipv4Addr;
@@ -28,7 +28,18 @@
     }
 }
 
-/// Requests for the list of backend servers that run, and those that recently failed.
+impl PeerFetchConfig {
+    /// Returns the settings for the configuration, which may take a second on a slow link.
+    pub fn for_configuration() -> Self {
+        Self {
+            hedge_after: Duration::from_secs(1),
+            max_running: 2,
+            ..Self::default()
+        }
+    }
+}
+
+/// Requests to peers that run, and those that recently failed.
 #[derive(Clone, Debug, Default)]
 pub struct PeerFetches {
     cfg: PeerFetchConfig,
@@ -45,6 +56,11 @@
         }
     }
 
+    /// Returns whether no peer is being asked.
+    pub fn is_idle(&self) -> bool {
+        self.running.is_empty()
+    }
+
     /// Returns whether another peer may be asked now.
     pub fn may_start(&self, now: Instant) -> bool {
         let is_waited_for = |(_, at): &(Ipv4Addr, Instant)| {
--- a/crates/cactusbarrow_policy/src/peer_table.rs
+++ b/crates/cactusbarrow_policy/src/peer_table.rs
@@ -242,7 +242,7 @@
         sum
     }
 
-    /// Draws one of the peers with the newest configuration, if it is newer than `version`.
+    /// Draws one of the candidates with the newest configuration, if it is newer than `version`.
     ///
     /// Load pattern: a large configuration is distributed over slow links. All peers that have
     /// it serve it, so that requests are not concentrated on the first ones.
@@ -251,14 +251,11 @@
         version: u64,
         now: Instant,
         rng: &mut impl Rng,
+        is_candidate: impl Fn(Ipv4Addr) -> bool,
     ) -> Option<Ipv4Addr> {
-        self.draw_newest(
-            version,
-            now,
-            rng,
-            |_| true,
-            |heartbeat| heartbeat.config_version,
-        )
+        self.draw_newest(version, now, rng, is_candidate, |heartbeat| {
+            heartbeat.config_version
+        })
     }
 
     /// Returns the size of a peer's configuration, if it is newer than `version`.
--- a/crates/cactusbarrow_policy/tests/gateways.rs
+++ b/crates/cactusbarrow_policy/tests/gateways.rs
@@ -179,10 +179,10 @@
     }
     let mut rng = StdRng::seed_from_u64(4);
     let asked: HashSet<_> = (0..200)
-        .filter_map(|_| table.newest_config(7, now, &mut rng))
+        .filter_map(|_| table.newest_config(7, now, &mut rng, |_| true))
         .collect();
     assert_eq!(asked, (1..=6).map(ip).collect());
-    assert_eq!(table.newest_config(9, now, &mut rng), None);
+    assert_eq!(table.newest_config(9, now, &mut rng, |_| true), None);
 }
 
 /// Guards against gateways that keep the entries of an earlier era of the store, because its
--- a/crates/cactusbarrow_policy/tests/peer_fetches.rs
+++ b/crates/cactusbarrow_policy/tests/peer_fetches.rs
@@ -67,7 +67,9 @@
     let start = Instant::now();
     let at = |ms| start + Duration::from_millis(ms);
     let mut fetches = PeerFetches::new(PeerFetchConfig::default());
+    assert!(fetches.is_idle());
     fetches.record_start(ip(0), start);
+    assert!(!fetches.is_idle());
     assert!(!fetches.may_start(at(500)));
     assert!(!fetches.is_candidate(ip(0), at(500)), "it is being asked");
     assert!(fetches.may_start(at(600)), "it is silent");
