Check each rejection in the soak against the time that it named

The soak reported that gateways did not heed Retry-After although they did: a backend server named one time in one period and another in the next, and the check applied each time of a server to all of its rejections. The stand-in now records the header of each rejection, and the check compares it with the time of the period. No rejection is checked less: each is checked against the time that it named, for as long as that.

--- a/examples/soak/environment.rs
+++ b/examples/soak/environment.rs
@@ -6,7 +6,7 @@
 
 use anyhow::Context;
 use cactusbarrow_adapter_standins::{
-    BackendStandin, DeadlyRequest, Run, StoreCopy, StoreStandin, config_json,
+    BackendStandin, DeadlyRequest, Rejection, Run, StoreCopy, StoreStandin, config_json,
     entry_json_with_software,
 };
 use serde_json::{Value, json};
@@ -56,7 +56,7 @@
     pub(crate) instance: String,
     pub(crate) runs: Vec<Run>,
     /// Requests that it rejected with `Retry-After`.
-    pub(crate) rejections: Vec<Run>,
+    pub(crate) rejections: Vec<Rejection>,
     pub(crate) drained_at: Option<Instant>,
     /// When its process ended, unless it still runs.
     pub(crate) ended_at: Option<Instant>,
--- a/examples/soak/ledger.rs
+++ b/examples/soak/ledger.rs
@@ -71,6 +71,13 @@
     pub(crate) retry_after: Duration,
 }
 
+impl Wait {
+    /// Returns the value of the `Retry-After` header.
+    pub(crate) fn header(&self) -> String {
+        self.retry_after.as_secs_f64().to_string()
+    }
+}
+
 /// A period in which a backend server names a limit.
 #[derive(Clone, Debug)]
 pub(crate) struct LimitPeriod {
--- a/examples/soak/scenario_checks.rs
+++ b/examples/soak/scenario_checks.rs
@@ -3,7 +3,7 @@
 use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
-use cactusbarrow_adapter_standins::Run;
+use cactusbarrow_adapter_standins::{Rejection, Run};
 
 use crate::callers::{DEADLY_PART_ID_PREFIX, DEADLY_REQUEST_ID_PREFIX};
 use crate::checks::request_id;
@@ -146,15 +146,18 @@
         let Some(record) = self.instances.iter().find(|i| i.instance == wait.instance) else {
             return;
         };
-        let arrivals = record.runs.iter().chain(&record.rejections);
+        let rejected = record.rejections.iter().map(|rejection| &rejection.request);
+        let arrivals = record.runs.iter().chain(rejected);
         let arrivals: Vec<(usize, Instant)> = arrivals
             .filter_map(|run| Some((self.attempt_of(run)?.1.gateway, run.started_at)))
             .collect();
-        for rejection in &record.rejections {
-            let Some((id, attempt)) = self.attempt_of(rejection) else {
+        // The instance may name another time in the next period.
+        let is_of_wait = |rejection: &&Rejection| rejection.retry_after == wait.header();
+        for rejection in record.rejections.iter().filter(is_of_wait) {
+            let Some((id, attempt)) = self.attempt_of(&rejection.request) else {
                 continue;
             };
-            let (gateway, rejected_at) = (attempt.gateway, rejection.started_at);
+            let (gateway, rejected_at) = (attempt.gateway, rejection.request.started_at);
             let (from, to) = (
                 rejected_at + WAIT_ADOPTION_BOUND,
                 rejected_at + wait.retry_after,
--- a/examples/soak/scenarios.rs
+++ b/examples/soak/scenarios.rs
@@ -301,12 +301,13 @@
             .clone();
         let instance = standin.instance().to_owned();
         let description = format!("{instance} asked for no requests for {retry_after:?}");
-        self.cx.ledger.record_wait(Wait {
+        let wait = Wait {
             backend,
             instance,
             retry_after,
-        });
-        standin.set_retry_after(Some(&retry_after.as_secs_f64().to_string()));
+        };
+        standin.set_retry_after(Some(&wait.header()));
+        self.cx.ledger.record_wait(wait);
         let pause = self.rng.random_range(REJECTION_MS);
         tokio::time::sleep(Duration::from_millis(pause)).await;
         standin.set_retry_after(None);
