List servers again in the soak while they leave or want no requests

The soak's servers kept their entries while they asked for no requests, and those that announced their departure were at most listed as draining, so it could not find that this knowledge ended with the entry.

--- a/examples/soak/environment.rs
+++ b/examples/soak/environment.rs
@@ -50,6 +50,9 @@
     drained_at: Option<Instant>,
 }
 
+/// Time for which an entry that is written again is missing.
+const UNLISTED_TIME: Duration = Duration::from_millis(200);
+
 /// An instance of a backend server, with all that it ran.
 #[derive(Debug)]
 pub(crate) struct InstanceRecord {
@@ -263,6 +266,17 @@
         key
     }
 
+    /// Removes the entry of an instance for a moment, and writes it again as it was.
+    pub(crate) async fn list_again(&self, instance: &str) {
+        let key = format!("servers/{instance}");
+        {
+            let _last_writes = lock(&self.last_writes);
+            self.store.delete(&key);
+        }
+        tokio::time::sleep(UNLISTED_TIME).await;
+        self.write_again(&key);
+    }
+
     /// Repeats the last write of a key.
     pub(crate) fn write_again(&self, key: &str) {
         if let Some(write) = lock(&self.last_writes).get_mut(key) {
--- a/examples/soak/scenarios.rs
+++ b/examples/soak/scenarios.rs
@@ -51,6 +51,9 @@
     Duration::from_secs(4),
 ];
 
+/// Times in `Retry-After` from which a server is removed from the list and listed again within them.
+const LISTED_AGAIN_WITHIN: Duration = Duration::from_secs(2);
+
 /// Time for which a backend server rejects requests, in milliseconds.
 const REJECTION_MS: std::ops::Range<u64> = 500..4_000;
 
@@ -275,6 +278,8 @@
         };
         if self.rng.random_bool(0.7) && is_present() {
             self.cx.environment.drain(backend);
+        } else if is_present() {
+            self.cx.environment.list_again(standin.instance()).await;
         }
         tokio::time::sleep(LEAVING_TIME.saturating_sub(lag)).await;
         if is_present() {
@@ -311,6 +316,9 @@
         let pause = self.rng.random_range(REJECTION_MS);
         tokio::time::sleep(Duration::from_millis(pause)).await;
         standin.set_retry_after(None);
+        if retry_after >= LISTED_AGAIN_WITHIN {
+            self.cx.environment.list_again(standin.instance()).await;
+        }
         tokio::time::sleep(retry_after).await;
         self.cx.ledger.end_disruption(id);
         description
