--- a/crates/cactusbarrow_gateway/src/lib.rs
+++ b/crates/cactusbarrow_gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod generation;
 mod health_check;
 mod listener;
+mod peer_knowledge;
 mod peers;
 mod prompt_search;
 mod quarantine;
--- a/crates/cactusbarrow_gateway/src/shared.rs
+++ b/crates/cactusbarrow_gateway/src/shared.rs
@@ -21,7 +21,8 @@
 use tokio::sync::{Notify, Semaphore, watch};
 use tokio_util::sync::CancellationToken;
 
-use crate::peers::{LoadChangeSignal, MAX_CONFIG_TRANSFERS, MAX_LIST_TRANSFERS};
+use crate::peer_knowledge::{MAX_CONFIG_TRANSFERS, MAX_LIST_TRANSFERS};
+use crate::peers::LoadChangeSignal;
 use crate::prompt_search::LastSearch;
 use crate::stream_origins::LastRead;
 
--- a/crates/cactusbarrow_gateway/src/start.rs
+++ b/crates/cactusbarrow_gateway/src/start.rs
@@ -13,7 +13,10 @@
 
 use crate::listener::{self, ListenerStop};
 use crate::shared::Shared;
-use crate::{backend_probes, health_check, peers, quarantine, request, store_sync, stream_origins};
+use crate::{
+    backend_probes, health_check, peer_knowledge, peers, quarantine, request, store_sync,
+    stream_origins,
+};
 
 /// State of a gateway for operators.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -87,7 +90,7 @@
         background_stop.clone(),
     ));
     let cx = shared.clone();
-    let handle_peer = move |req| peers::serve_knowledge(cx.clone(), req);
+    let handle_peer = move |req| peer_knowledge::serve_knowledge(cx.clone(), req);
     tokio::spawn(listener::run(
         peer_listener,
         "peers",
