--- a/review/standins/src/balancer.rs
+++ b/review/standins/src/balancer.rs
@@ -37,7 +37,11 @@
                     let is_ready = tokio::time::timeout(INTERVAL, is_ready(health)).await;
                     {
                         let mut misses = misses.lock().unwrap_or_else(PoisonError::into_inner);
-                        let count = if is_ready == Ok(true) { 0 } else { misses[index] + 1 };
+                        let count = if is_ready == Ok(true) {
+                            0
+                        } else {
+                            misses[index] + 1
+                        };
                         misses[index] = count;
                     }
                     tokio::time::sleep(INTERVAL).await;
@@ -51,7 +55,10 @@
     pub fn in_rotation(&self) -> Vec<SocketAddr> {
         let misses = self.misses.lock().unwrap_or_else(PoisonError::into_inner);
         let gateways = self.gateways.iter().zip(misses.iter());
-        gateways.filter(|(_, m)| **m < MAX_MISSES).map(|(g, _)| *g).collect()
+        gateways
+            .filter(|(_, m)| **m < MAX_MISSES)
+            .map(|(g, _)| *g)
+            .collect()
     }
 
     /// Chooses the gateway of a new channel: of those in rotation, or of all if these are fewer
--- a/review/standins/src/bin/stream_after_sigterm.rs
+++ b/review/standins/src/bin/stream_after_sigterm.rs
@@ -66,7 +66,10 @@
         let Ok(engine) = Engine::start(&format!("i-{i}"), EngineConfig::default()).await else {
             return Verdict::NotRun;
         };
-        store.put(&format!("servers/i-{i}"), &engine.entry("llm", "zona-pa", "ready"));
+        store.put(
+            &format!("servers/i-{i}"),
+            &engine.entry("llm", "zona-pa", "v1"),
+        );
         engines.push(engine);
     }
     let mut gateways: Vec<GatewayProcess> = (0..GATEWAYS)
@@ -102,7 +105,9 @@
             record.say(&format!("SIGTERM to {STOPPED} of {GATEWAYS} gateways"));
         }
         if stopped_at.is_some() && !is_restarted {
-            let ended = gateways[..STOPPED].iter_mut().filter_map(|g| g.has_ended().then_some(()));
+            let ended = gateways[..STOPPED]
+                .iter_mut()
+                .filter_map(|g| g.has_ended().then_some(()));
             if ended.count() == STOPPED {
                 record.say("the stopped gateways have ended and are started again");
                 is_restarted = true;
@@ -111,7 +116,11 @@
                 }
             }
         }
-        callers.push(tokio::spawn(caller(number, balancer.clone(), attempts.clone())));
+        callers.push(tokio::spawn(caller(
+            number,
+            balancer.clone(),
+            attempts.clone(),
+        )));
         number += 1;
         tokio::time::sleep(INTERVAL).await;
     }
@@ -119,7 +128,13 @@
         let _ = caller.await;
     }
     let stopped: Vec<SocketAddr> = gateways[..STOPPED].iter().map(|g| g.callers).collect();
-    judge(record, &attempts.lock().expect("not poisoned"), &engines, &stopped, stopped_at)
+    judge(
+        record,
+        &attempts.lock().expect("not poisoned"),
+        &engines,
+        &stopped,
+        stopped_at,
+    )
 }
 
 /// Sends one generation, and retries it once as the pages tell callers to.
@@ -136,6 +151,7 @@
             deadline: DEADLINE.saturating_sub(begun.elapsed()),
             tokens: if is_long { LONG } else { SHORT },
             last_event,
+            resumes: None,
         };
         let gateway = balancer.choose(number * 7 + attempt);
         let (sent, ended, answer) = send(gateway, &call).await;
@@ -150,7 +166,14 @@
             }
         };
         let id = call.id;
-        let attempt = Attempt { id, gateway, is_long, sent, ended, answer };
+        let attempt = Attempt {
+            id,
+            gateway,
+            is_long,
+            sent,
+            ended,
+            answer,
+        };
         attempts.lock().expect("not poisoned").push(attempt);
         let Some(wait) = wait else {
             return;
@@ -169,13 +192,23 @@
     let runs: Vec<_> = engines.iter().flat_map(|e| e.runs()).collect();
     let (mut complete, mut refused, mut excused, mut broken, mut late) = (0, 0, 0, 0, 0);
     for attempt in attempts {
-        let Attempt { id, gateway, is_long, sent, ended, answer } = attempt;
+        let Attempt {
+            id,
+            gateway,
+            is_long,
+            sent,
+            ended,
+            answer,
+        } = attempt;
         let run = runs.iter().find(|run| run.id == *id);
         let text = format!(
             "{id} {} to {gateway}: ended {:.3}, engine {}, {answer:?}",
             if *is_long { "long" } else { "short" },
             record.at(*ended),
-            run.map_or("not reached".to_owned(), |r| format!("reached {:.3}", record.at(r.at))),
+            run.map_or("not reached".to_owned(), |r| format!(
+                "reached {:.3}",
+                record.at(r.at)
+            )),
         );
         record.line(*sent, &text);
         let after = stopped_at.filter(|_| stopped.contains(gateway));
@@ -188,7 +221,9 @@
             Answer::Cut { .. } | Answer::TimedOut if is_late && run.is_some() => {
                 broken += 1;
                 let after = after.unwrap_or_default().as_secs_f64();
-                record.say(&format!("LOST: {id} was sent {after:.3} s after the SIGTERM: {text}"));
+                record.say(&format!(
+                    "LOST: {id} was sent {after:.3} s after the SIGTERM: {text}"
+                ));
             }
             Answer::Cut { .. } if after.is_some() && after < Some(GRACE) => excused += 1,
             Answer::Cut { .. } | Answer::TimedOut => {
@@ -202,5 +237,9 @@
          excused, {late} passed on later than 3 s after SIGTERM, {broken} lost",
         attempts.len()
     ));
-    if broken > 0 { Verdict::Broken } else { Verdict::Held }
+    if broken > 0 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
 }
--- a/review/standins/src/caller.rs
+++ b/review/standins/src/caller.rs
@@ -22,6 +22,8 @@
     /// Prompt tokens and maximum output tokens.
     pub tokens: (u64, u64),
     pub last_event: Option<u64>,
+    /// Request that brought the first event of the stream that is taken up.
+    pub resumes: Option<String>,
 }
 
 /// How a request ended.
@@ -52,11 +54,17 @@
     let _ = stream.set_nodelay(true);
     let (read, mut write) = stream.into_split();
     let body = "the request's body";
-    let last = call.last_event.map_or_else(String::new, |id| format!("Last-Event-Id: {id}\r\n"));
+    let last = call
+        .last_event
+        .map_or_else(String::new, |id| format!("Last-Event-Id: {id}\r\n"));
+    let resumes = call
+        .resumes
+        .as_ref()
+        .map_or_else(String::new, |id| format!("Resumes: {id}\r\n"));
     let text = format!(
         "{} {} HTTP/1.1\r\nHost: ficu.example\r\nCactusbarrow-Request-Id: {}\r\n\
          Cactusbarrow-Key: {}\r\nCactusbarrow-Deadline-Ms: {}\r\n\
-         Cactusbarrow-Token-Usage: {},{}\r\n{last}Content-Length: {}\r\n\r\n{body}",
+         Cactusbarrow-Token-Usage: {},{}\r\n{last}{resumes}Content-Length: {}\r\n\r\n{body}",
         call.method,
         call.path,
         call.id,
@@ -67,21 +75,32 @@
         body.len(),
     );
     if write.write_all(text.as_bytes()).await.is_err() {
-        let cut = Answer::Cut { had_head: false, events: 0 };
+        let cut = Answer::Cut {
+            had_head: false,
+            events: 0,
+        };
         return (Instant::now(), Instant::now(), cut);
     }
     let sent = Instant::now();
     let mut reader = Reader::new(read);
     let read = async {
         let Some(head) = reader.head().await else {
-            return Answer::Cut { had_head: false, events: 0 };
+            return Answer::Cut {
+                had_head: false,
+                events: 0,
+            };
         };
         let mut bytes = Vec::new();
-        let is_complete = reader.body(&head, |data| bytes.extend_from_slice(data)).await;
+        let is_complete = reader
+            .body(&head, |data| bytes.extend_from_slice(data))
+            .await;
         let body = String::from_utf8_lossy(&bytes).into_owned();
         let events = body.matches("\n\n").count() as u64;
         if !is_complete {
-            return Answer::Cut { had_head: true, events };
+            return Answer::Cut {
+                had_head: true,
+                events,
+            };
         }
         Answer::Complete {
             status: head.word(1).parse().unwrap_or(0),
--- a/review/standins/src/engine.rs
+++ b/review/standins/src/engine.rs
@@ -74,14 +74,17 @@
 
     /// Returns all requests that reached the engine and were not rejected.
     pub fn runs(&self) -> Vec<Run> {
-        self.runs.lock().unwrap_or_else(PoisonError::into_inner).clone()
+        self.runs
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
     }
 
     /// Returns the entry with which the engine registers itself.
-    pub fn entry(&self, service: &str, zone: &str, state: &str) -> String {
+    pub fn entry(&self, service: &str, zone: &str, version: &str) -> String {
         json!({
-            "service": service, "address": self.addr.to_string(), "zone": zone, "version": "v1",
-            "slots": 96, "state": state, "coldLeftMs": 0, "sequence": 4,
+            "service": service, "address": self.addr.to_string(), "zone": zone, "version": version,
+            "slots": 96, "state": "ready", "coldLeftMs": 0, "sequence": 4,
             "born": 1_790_000_000_000_u64,
         })
         .to_string()
@@ -89,7 +92,11 @@
 
     fn begin(&self, id: &str) -> usize {
         let mut runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
-        runs.push(Run { id: id.to_owned(), at: Instant::now(), is_complete: None });
+        runs.push(Run {
+            id: id.to_owned(),
+            at: Instant::now(),
+            is_complete: None,
+        });
         runs.len() - 1
     }
 
@@ -144,14 +151,20 @@
         }
         let id = head.get("cactusbarrow-request-id").unwrap_or("").to_owned();
         let echo = format!("Cactusbarrow-Request-Id: {id}\r\n");
-        if head.get("cactusbarrow-expect-instance").is_some_and(|i| i != self.instance) {
+        if head
+            .get("cactusbarrow-expect-instance")
+            .is_some_and(|i| i != self.instance)
+        {
             let extra = format!("{echo}Cactusbarrow-Not-Executed: 1\r\n");
             return answer(write, "421 Misdirected Request", &extra, "").await;
         }
         let run = self.begin(&id);
         let number = |name: &str| head.get(name).and_then(|v| v.parse::<u64>().ok());
         let deadline = Duration::from_millis(number("cactusbarrow-deadline-ms").unwrap_or(60_000));
-        let proof = format!("{echo}Cactusbarrow-Server-Signature: {}.{id}\r\n", self.instance);
+        let proof = format!(
+            "{echo}Cactusbarrow-Server-Signature: {}.{id}\r\n",
+            self.instance
+        );
         let work = async {
             if path.starts_with("/stream/") {
                 self.stream(head, write, &proof).await
@@ -172,9 +185,19 @@
         let usage = head.get("cactusbarrow-token-usage").unwrap_or("0,0");
         let (prompt, output) = usage.split_once(',').unwrap_or(("0", "0"));
         let prompt: u64 = prompt.trim().parse().unwrap_or(0);
-        let events = output.trim().parse::<u64>().unwrap_or(0).div_ceil(TOKENS_PER_EVENT);
-        let last = head.get("last-event-id").and_then(|v| v.parse::<u64>().ok()).unwrap_or(0);
-        tokio::time::sleep(Duration::from_millis(prompt / self.cfg.prompt_tokens_per_ms)).await;
+        let events = output
+            .trim()
+            .parse::<u64>()
+            .unwrap_or(0)
+            .div_ceil(TOKENS_PER_EVENT);
+        let last = head
+            .get("last-event-id")
+            .and_then(|v| v.parse::<u64>().ok())
+            .unwrap_or(0);
+        tokio::time::sleep(Duration::from_millis(
+            prompt / self.cfg.prompt_tokens_per_ms,
+        ))
+        .await;
         let text = format!(
             "HTTP/1.1 200 OK\r\n{proof}Content-Type: text/event-stream\r\n\
              Transfer-Encoding: chunked\r\n\r\n"
--- a/review/standins/src/gateway.rs
+++ b/review/standins/src/gateway.rs
@@ -76,7 +76,10 @@
     /// Starts the process as the deploy file does.
     pub fn start(&mut self) -> std::io::Result<()> {
         self.starts += 1;
-        let log = File::create(self.dir.join(format!("{}-{}.jsonl", self.name, self.starts)))?;
+        let log = File::create(
+            self.dir
+                .join(format!("{}-{}.jsonl", self.name, self.starts)),
+        )?;
         let child = Command::new(&self.program)
             .arg("gateway")
             .env("CACTUSBARROW_CONFIG", &self.settings)
@@ -92,13 +95,39 @@
     pub fn signal(&self, signal: &str) {
         if let Some(child) = &self.child {
             let pid = child.id().to_string();
-            let _ = Command::new("kill").args([&format!("-{signal}"), &pid]).status();
+            let _ = Command::new("kill")
+                .args([&format!("-{signal}"), &pid])
+                .status();
+        }
+    }
+
+    /// Writes the settings file again with a new field, as the platform may at any time.
+    pub fn touch_settings(&self) {
+        if let Ok(text) = std::fs::read_to_string(&self.settings) {
+            let base = text.split("newField").next().unwrap_or(&text);
+            let _ = std::fs::write(&self.settings, format!("{base}newField: 1\n"));
+        }
+    }
+
+    /// Sends a signal by its number without starting a process for it.
+    pub fn signal_now(&self, signal: i32) {
+        let pid = self
+            .child
+            .as_ref()
+            .and_then(|child| i32::try_from(child.id()).ok());
+        let pid = pid.and_then(rustix::process::Pid::from_raw);
+        let signal = rustix::process::Signal::from_named_raw(signal);
+        if let (Some(pid), Some(signal)) = (pid, signal) {
+            let _ = rustix::process::kill_process(pid, signal);
         }
     }
 
     /// Returns whether the process has ended.
     pub fn has_ended(&mut self) -> bool {
-        let ended = self.child.as_mut().is_none_or(|c| matches!(c.try_wait(), Ok(Some(_))));
+        let ended = self
+            .child
+            .as_mut()
+            .is_none_or(|c| matches!(c.try_wait(), Ok(Some(_))));
         if ended {
             self.child = None;
         }
--- a/review/standins/src/http1.rs
+++ b/review/standins/src/http1.rs
@@ -33,7 +33,10 @@
 
 impl<R: AsyncRead + Unpin> Reader<R> {
     pub(crate) fn new(stream: R) -> Self {
-        Self { stream, buf: Vec::new() }
+        Self {
+            stream,
+            buf: Vec::new(),
+        }
     }
 
     /// Reads more bytes; returns false at the end of the connection.
@@ -65,7 +68,10 @@
                     .filter_map(|line| line.split_once(':'))
                     .map(|(n, v)| (n.trim().to_ascii_lowercase(), v.trim().to_owned()))
                     .collect();
-                return Some(Head { first_line, headers });
+                return Some(Head {
+                    first_line,
+                    headers,
+                });
             }
             if self.buf.len() > MAX_HEAD_BYTES || !self.fill().await {
                 return None;
@@ -97,7 +103,10 @@
     /// Reads the body that belongs to a head, and passes what arrives to `on_data`; returns
     /// whether it is complete.
     pub(crate) async fn body(&mut self, head: &Head, mut on_data: impl FnMut(&[u8])) -> bool {
-        if head.get("transfer-encoding").is_some_and(|v| v.contains("chunked")) {
+        if head
+            .get("transfer-encoding")
+            .is_some_and(|v| v.contains("chunked"))
+        {
             loop {
                 let Some(line) = self.line().await else {
                     return false;
--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -6,10 +6,12 @@
 mod engine;
 mod gateway;
 mod http1;
+mod link;
 mod record;
 
 pub use balancer::Balancer;
 pub use caller::{Answer, Call, send};
 pub use engine::{Engine, EngineConfig, Run};
 pub use gateway::{GatewayProcess, gateway_ip, workdir};
+pub use link::Link;
 pub use record::{Record, Verdict, exit_with, has_trouble};
--- a/review/standins/src/record.rs
+++ b/review/standins/src/record.rs
@@ -36,9 +36,14 @@
 impl Record {
     /// Creates the file whose path is the first argument of the program.
     pub fn create() -> Self {
-        let path = std::env::args().nth(1).unwrap_or_else(|| "record.txt".to_owned());
+        let path = std::env::args()
+            .nth(1)
+            .unwrap_or_else(|| "record.txt".to_owned());
         let file = File::create(path).expect("the record can be written");
-        Self { started: Instant::now(), file: Mutex::new(BufWriter::new(file)) }
+        Self {
+            started: Instant::now(),
+            file: Mutex::new(BufWriter::new(file)),
+        }
     }
 
     /// Returns the seconds from the start to `at`.
