--- a/review/standins/src/engine.rs
+++ b/review/standins/src/engine.rs
@@ -8,6 +8,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 
 use crate::http1::{Head, Reader};
 
@@ -23,6 +24,8 @@
     pub event_interval: Duration,
     /// Time for which a call runs.
     pub call_time: Duration,
+    /// Path of requests under which the process ends when it begins to run one.
+    pub deadly_path: Option<String>,
 }
 
 impl Default for EngineConfig {
@@ -31,6 +34,7 @@
             prompt_tokens_per_ms: 5,
             event_interval: Duration::from_millis(30),
             call_time: Duration::from_millis(30),
+            deadly_path: None,
         }
     }
 }
@@ -51,27 +55,59 @@
     pub addr: SocketAddr,
     cfg: EngineConfig,
     runs: Arc<Mutex<Vec<Run>>>,
+    has_ended: watch::Sender<bool>,
 }
 
 impl Engine {
     /// Starts an engine at a free port.
     pub async fn start(instance: &str, cfg: EngineConfig) -> std::io::Result<Self> {
-        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+        Self::start_at(SocketAddr::from(([127, 0, 0, 1], 0)), instance, cfg).await
+    }
+
+    /// Starts an engine at an address.
+    pub async fn start_at(
+        addr: SocketAddr,
+        instance: &str,
+        cfg: EngineConfig,
+    ) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(addr).await?;
         let engine = Self {
             instance: instance.to_owned(),
             addr: listener.local_addr()?,
             cfg,
             runs: Arc::default(),
+            has_ended: watch::Sender::new(false),
         };
         let cx = engine.clone();
         tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(cx.clone().serve(stream));
+            let mut ended = cx.has_ended.subscribe();
+            loop {
+                tokio::select! {
+                    _ = ended.wait_for(|ended| *ended) => return,
+                    accepted = listener.accept() => {
+                        if let Ok((stream, _)) = accepted {
+                            tokio::spawn(cx.clone().serve_until_end(stream));
+                        }
+                    }
+                }
             }
         });
         Ok(engine)
     }
 
+    /// Waits until the process has ended.
+    pub async fn ended(&self) {
+        let _ = self.has_ended.subscribe().wait_for(|ended| *ended).await;
+    }
+
+    async fn serve_until_end(self, stream: TcpStream) {
+        let mut ended = self.has_ended.subscribe();
+        tokio::select! {
+            _ = ended.wait_for(|ended| *ended) => {}
+            () = self.serve(stream) => {}
+        }
+    }
+
     /// Returns all requests that reached the engine and were not rejected.
     pub fn runs(&self) -> Vec<Run> {
         self.runs
@@ -159,6 +195,11 @@
             return answer(write, "421 Misdirected Request", &extra, "").await;
         }
         let run = self.begin(&id);
+        if self.cfg.deadly_path.as_deref() == Some(path.as_str()) {
+            tokio::time::sleep(self.cfg.call_time).await;
+            self.has_ended.send_replace(true);
+            return std::future::pending().await;
+        }
         let number = |name: &str| head.get(name).and_then(|v| v.parse::<u64>().ok());
         let deadline = Duration::from_millis(number("cactusbarrow-deadline-ms").unwrap_or(60_000));
         let proof = format!(
