Tell two gateways which version began a stream before its first event leaves

Cause: an origin left its gateway only with the next successful write of its pages, so it ended with the process during a cut from the store and within the write interval.

Change: the gateway sends the origin to two others, chosen by rendezvous hashing, before the first event is passed on, and waits for neither. A gateway that does not know an origin asks the four best candidates, for 150 ms at most, before it reads the store. Heartbeats state up to which origin the store has all; holders write those that their gateway does not. The shortest time between two writes is 50 ms. The test of the interval names the new shortest time, and checks the share of the store's writes at four sizes instead of one.

Ruled out: that the store had the origins and others read them too late; the second try was refused too.

--- a/crates/cactusbarrow_gateway/src/lib.rs
+++ b/crates/cactusbarrow_gateway/src/lib.rs
@@ -16,6 +16,8 @@
 mod generation;
 mod health_check;
 mod listener;
+mod origin_exchange;
+mod origin_store;
 mod peer_knowledge;
 mod peers;
 mod prompt_search;
--- a/crates/cactusbarrow_gateway/src/peers.rs
+++ b/crates/cactusbarrow_gateway/src/peers.rs
@@ -13,12 +13,11 @@
     BackendLimit, EngineLoad, GatewayHeartbeat, PromptPlace, RetryUse,
 };
 use prost::Message;
-use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
 use crate::shared::Shared;
-use crate::{peer_knowledge, quarantine};
+use crate::{origin_exchange, peer_knowledge, quarantine};
 
 /// Size of the largest heartbeat in bytes, which fits into one packet.
 const MAX_HEARTBEAT_BYTES: usize = 1_400;
@@ -41,14 +40,11 @@
 /// Exchanges heartbeats with peers and fetches newer data from them until `stop` is cancelled.
 pub(crate) async fn run<C: Clock>(
     shared: Arc<Shared<C>>,
-    socket: UdpSocket,
     store: StoreClient,
-    incarnation: u64,
     stop: CancellationToken,
 ) {
-    let socket = Arc::new(socket);
-    let receive = receive_heartbeats(shared.clone(), socket.clone());
-    let send = send_heartbeats(shared.clone(), socket, incarnation);
+    let receive = receive_datagrams(shared.clone());
+    let send = send_heartbeats(shared.clone());
     let config = peer_knowledge::sync_configuration(shared.clone(), store);
     let servers = peer_knowledge::sync_servers(shared.clone());
     let departures = peer_knowledge::learn_departures(shared);
@@ -58,22 +54,19 @@
     stop.run_until_cancelled(all).await;
 }
 
-async fn send_heartbeats<C: Clock>(
-    shared: Arc<Shared<C>>,
-    socket: Arc<UdpSocket>,
-    incarnation: u64,
-) {
+async fn send_heartbeats<C: Clock>(shared: Arc<Shared<C>>) {
     let mut sequence = 0;
     loop {
         let now = shared.now();
         shared.record_live_gateways();
+        origin_exchange::adopt_orphans(&shared);
         let targets = shared.peers().poll(now);
         if !targets.is_empty() {
             sequence += 1;
-            let buf = encode_heartbeat(&shared, incarnation, sequence);
+            let buf = encode_heartbeat(&shared, sequence);
             for ip in targets {
                 let to = SocketAddr::new(IpAddr::V4(ip), shared.settings.peers.port());
-                if let Err(e) = socket.send_to(&buf, to).await {
+                if let Err(e) = shared.peer_socket().send_to(&buf, to).await {
                     log::debug!(step = "send heartbeat", peer:% = to; "not sent: {e}");
                 }
             }
@@ -86,7 +79,7 @@
     }
 }
 
-fn encode_heartbeat<C: Clock>(shared: &Shared<C>, incarnation: u64, sequence: u64) -> Vec<u8> {
+fn encode_heartbeat<C: Clock>(shared: &Shared<C>, sequence: u64) -> Vec<u8> {
     let now = shared.now();
     let store_status = shared.store_status(now);
     let position = shared.servers_position();
@@ -97,7 +90,7 @@
         .collect::<Vec<_>>();
     let mut heartbeat = GatewayHeartbeat {
         name: shared.settings.name.clone(),
-        incarnation,
+        incarnation: shared.incarnation(),
         sequence,
         config_version: shared.version().0,
         config_bytes: shared.config_bytes().try_into().unwrap_or(u32::MAX),
@@ -129,6 +122,7 @@
             .take(MAX_HEARTBEAT_PROMPTS)
             .map(prompt_to_wire)
             .collect(),
+        origins_stored_before: shared.origin_pages().stored_before(),
         ..GatewayHeartbeat::default()
     };
     heartbeat.limits = shared
@@ -187,19 +181,23 @@
     (ServiceId(wire.service), wire.begun)
 }
 
-async fn receive_heartbeats<C: Clock>(shared: Arc<Shared<C>>, socket: Arc<UdpSocket>) {
+async fn receive_datagrams<C: Clock>(shared: Arc<Shared<C>>) {
     let mut buf = [0; MAX_HEARTBEAT_BYTES];
     loop {
-        let (len, from) = match socket.recv_from(&mut buf).await {
+        let (len, from) = match shared.peer_socket().recv_from(&mut buf).await {
             Ok(received) => received,
             Err(e) => {
-                log::debug!(step = "receive heartbeat"; "not received: {e}");
+                log::debug!(step = "receive datagram"; "not received: {e}");
                 continue;
             }
         };
         let IpAddr::V4(ip) = from.ip() else {
             continue;
         };
+        if origin_exchange::is_origin_message(&buf[..len]) {
+            origin_exchange::receive(&shared, ip, &buf[..len]);
+            continue;
+        }
         match GatewayHeartbeat::decode(&buf[..len]) {
             Ok(heartbeat) => record_heartbeat(&shared, ip, &heartbeat),
             Err(e) => log::warn!(peer:% = from; "heartbeat cannot be decoded: {e}"),
@@ -236,6 +234,9 @@
         }
         (peers.loads(now), begun)
     };
+    shared
+        .unstored_origins()
+        .record_stored(from, wire.incarnation, wire.origins_stored_before);
     for (service, count) in begun {
         shared.quarantine().count_begun(service, count, now);
     }
--- a/crates/cactusbarrow_gateway/src/quarantine.rs
+++ b/crates/cactusbarrow_gateway/src/quarantine.rs
@@ -20,8 +20,8 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::engine_end::has_ended;
+use crate::origin_store::write_interval;
 use crate::shared::Shared;
-use crate::stream_origins::write_interval;
 
 /// Prefix of the keys that hold pages; the gateway's address follows.
 pub(crate) const PAGES_PREFIX: &str = "quarantine/";
--- a/crates/cactusbarrow_gateway/src/shared.rs
+++ b/crates/cactusbarrow_gateway/src/shared.rs
@@ -13,18 +13,20 @@
     OperatorConfigCell, OriginConfig, OriginPages, PartQuarantine, PeerConfig, PeerTable,
     PromptLocationConfig, PromptLocations, QuarantineConfig, RetryCount, RetryLimits, RetryWindow,
     Revision, ServiceId, ServiceName, Shutdown, ShutdownConfig, StoreAvailability, StoreEra,
-    StorePosition, StoreStatus, StoreWatchConfig, StreamOrigins, is_watcher, stable_hash,
-    start_wait,
+    StorePosition, StoreStatus, StoreWatchConfig, StreamOrigins, UnstoredOrigins, is_watcher,
+    stable_hash, start_wait,
 };
-use rand::SeedableRng;
 use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use tokio::net::UdpSocket;
 use tokio::sync::{Notify, Semaphore, watch};
 use tokio_util::sync::CancellationToken;
 
+use crate::origin_exchange::OriginSearches;
+use crate::origin_store::LastRead;
 use crate::peer_knowledge::{MAX_CONFIG_TRANSFERS, MAX_LIST_TRANSFERS};
 use crate::peers::LoadChangeSignal;
 use crate::prompt_search::LastSearch;
-use crate::stream_origins::LastRead;
 
 /// Share of the platform's retry budget that the gateways use.
 const RETRY_BUDGET_SHARE: f64 = 0.8;
@@ -175,6 +177,13 @@
     /// Wakes the writer of origins.
     origin_change: Notify,
     last_origin_read: LastRead,
+    /// Origins that other gateways announced and that the store may lack.
+    unstored_origins: Mutex<UnstoredOrigins>,
+    origin_searches: OriginSearches,
+    /// Socket for datagrams between gateways.
+    peer_socket: UdpSocket,
+    /// Distinguishes restarts of this gateway.
+    incarnation: u64,
     quarantine: Mutex<PartQuarantine>,
     fingerprint_key: Mutex<KeyAgreement>,
     quarantine_signal: QuarantineSignal,
@@ -182,7 +191,7 @@
     has_backend_list: AtomicBool,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     // The data are plain values, which stay consistent when a task panics.
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -196,7 +205,12 @@
 }
 
 impl<C: Clock> Shared<C> {
-    pub(crate) fn new(settings: GatewaySettings, clock: C, store: StoreClient) -> Arc<Self> {
+    pub(crate) fn new(
+        settings: GatewaySettings,
+        clock: C,
+        store: StoreClient,
+        peer_socket: UdpSocket,
+    ) -> Arc<Self> {
         let seeds: Vec<Ipv4Addr> = settings.seeds.iter().copied().filter_map(ipv4).collect();
         let own = ipv4(settings.ip).unwrap_or(Ipv4Addr::UNSPECIFIED);
         let peers = PeerTable::new(PeerConfig::default(), own, &seeds);
@@ -232,6 +246,10 @@
             origin_pages: Mutex::new(OriginPages::new(OriginConfig::default())),
             origin_change: Notify::new(),
             last_origin_read: LastRead::default(),
+            unstored_origins: Mutex::default(),
+            origin_searches: OriginSearches::default(),
+            peer_socket,
+            incarnation: rand::rng().next_u64(),
             prompts: Mutex::new(PromptLocations::new(PromptLocationConfig::default())),
             quarantine: Mutex::new(PartQuarantine::new(QuarantineConfig::default())),
             fingerprint_key: Mutex::new(fingerprint_key),
@@ -345,6 +363,22 @@
         &self.last_origin_read
     }
 
+    pub(crate) fn unstored_origins(&self) -> MutexGuard<'_, UnstoredOrigins> {
+        lock(&self.unstored_origins)
+    }
+
+    pub(crate) fn origin_searches(&self) -> &OriginSearches {
+        &self.origin_searches
+    }
+
+    pub(crate) fn peer_socket(&self) -> &UdpSocket {
+        &self.peer_socket
+    }
+
+    pub(crate) fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
     pub(crate) fn quarantine(&self) -> MutexGuard<'_, PartQuarantine> {
         lock(&self.quarantine)
     }
--- a/crates/cactusbarrow_gateway/src/start.rs
+++ b/crates/cactusbarrow_gateway/src/start.rs
@@ -5,7 +5,6 @@
 use cactusbarrow_adapter::{GatewaySettings, StoreClient};
 use cactusbarrow_net::{Clock, NetError, listen};
 use cactusbarrow_policy::Revision;
-use rand::Rng;
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -14,8 +13,8 @@
 use crate::listener::{self, ListenerStop};
 use crate::shared::Shared;
 use crate::{
-    backend_probes, health_check, peer_knowledge, peers, quarantine, request, store_sync,
-    stream_origins,
+    backend_probes, health_check, origin_store, peer_knowledge, peers, quarantine, request,
+    store_sync,
 };
 
 /// State of a gateway for operators.
@@ -46,11 +45,11 @@
     let (caller_listener, _) = listen(settings.callers).await?;
     let (health_listener, _) = listen(settings.health).await?;
     let (peer_listener, _) = listen(settings.peers).await?;
-    let heartbeat_socket = UdpSocket::bind(settings.peers)
+    let peer_socket = UdpSocket::bind(settings.peers)
         .await
         .map_err(|e| NetError::new("listen for heartbeats", settings.peers, e))?;
     let store = StoreClient::new(settings.store, store_sync::STORE_TIMEOUT);
-    let shared = Shared::new(settings, clock, store.clone());
+    let shared = Shared::new(settings, clock, store.clone(), peer_socket);
     let listener_stop = ListenerStop::default();
     let internal_stop = ListenerStop::default();
     let background_stop = CancellationToken::new();
@@ -60,7 +59,7 @@
         store.clone(),
         background_stop.clone(),
     ));
-    tokio::spawn(stream_origins::run(
+    tokio::spawn(origin_store::run(
         shared.clone(),
         store.clone(),
         background_stop.clone(),
@@ -81,14 +80,7 @@
         internal_stop.clone(),
         TaskTracker::new(),
     ));
-    let incarnation = shared.rng().next_u64();
-    tokio::spawn(peers::run(
-        shared.clone(),
-        heartbeat_socket,
-        store,
-        incarnation,
-        background_stop.clone(),
-    ));
+    tokio::spawn(peers::run(shared.clone(), store, background_stop.clone()));
     let cx = shared.clone();
     let handle_peer = move |req| peer_knowledge::serve_knowledge(cx.clone(), req);
     tokio::spawn(listener::run(
--- a/crates/cactusbarrow_gateway/src/store_sync.rs
+++ b/crates/cactusbarrow_gateway/src/store_sync.rs
@@ -13,7 +13,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::shared::Shared;
-use crate::{quarantine, stream_origins};
+use crate::{origin_store, quarantine};
 
 /// Prefix of the watched keys. It matches all keys, so that one call covers the configuration
 /// and the list of backend servers.
@@ -335,11 +335,11 @@
 
 /// Applies a page that gateways keep in the store; returns whether the item is one.
 fn apply_page<C: Clock>(shared: &Shared<C>, item: &KeyValue) -> bool {
-    stream_origins::apply_page(shared, item) || quarantine::apply_page(shared, item)
+    origin_store::apply_page(shared, item) || quarantine::apply_page(shared, item)
 }
 
 fn is_page(key: &str) -> bool {
-    let prefixes = [stream_origins::PAGES_PREFIX, quarantine::PAGES_PREFIX];
+    let prefixes = [origin_store::PAGES_PREFIX, quarantine::PAGES_PREFIX];
     prefixes.iter().any(|prefix| key.starts_with(prefix))
 }
 
--- a/crates/cactusbarrow_gateway/tests/common/mod.rs
+++ b/crates/cactusbarrow_gateway/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "each test file uses some of the items")]
 
 pub(crate) mod cut_proxy;
+pub(crate) mod streams;
 
 use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicU16, Ordering};
@@ -16,10 +17,12 @@
 use cactusbarrow_gateway::{GatewayHandle, start};
 use cactusbarrow_net::{Body, HttpClient, HttpVersion, SystemClock};
 use http::{Response, StatusCode};
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Collected};
+use hyper::body::Incoming;
 use serde_json::Value;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
+use tokio::runtime::Runtime;
 
 pub(crate) const KEY: &str = "key-1";
 pub(crate) const EVENTS: u64 = 30;
@@ -200,15 +203,50 @@
             .send("call", req)
             .await
             .expect("the gateway responds");
-        let (head, body) = res.into_parts();
-        let body = body
-            .collect()
-            .await
-            .map(http_body_util::Collected::to_bytes)
-            .ok();
-        CallerResponse {
-            head: Response::from_parts(head, ()),
-            body,
+        CallerResponse::collect(res).await
+    }
+}
+
+/// A gateway on a runtime of its own, so that it can end as if its process were killed.
+pub(crate) struct KillableGateway {
+    pub(crate) gateway: Gateway,
+    runtime: Option<Runtime>,
+}
+
+impl KillableGateway {
+    /// Starts a gateway and waits until it is ready.
+    pub(crate) async fn start(
+        ip: &'static str,
+        base: u16,
+        seed: &'static str,
+        store: SocketAddr,
+    ) -> Self {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(1)
+            .enable_all()
+            .build()
+            .expect("start a runtime");
+        let started = runtime.spawn(TestCluster::gateway_with_store(ip, base, seed, store));
+        let gateway = started.await.expect("start a gateway");
+        gateway.wait_until_ready().await;
+        Self {
+            gateway,
+            runtime: Some(runtime),
+        }
+    }
+
+    /// Ends all tasks of the gateway at once.
+    pub(crate) fn kill(mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+impl Drop for KillableGateway {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
         }
     }
 }
@@ -221,6 +259,16 @@
 }
 
 impl CallerResponse {
+    /// Collects a response, whose body may be truncated.
+    pub(crate) async fn collect(res: Response<Incoming>) -> Self {
+        let (head, body) = res.into_parts();
+        let body = body.collect().await.ok().map(Collected::to_bytes);
+        Self {
+            head: Response::from_parts(head, ()),
+            body,
+        }
+    }
+
     pub(crate) fn status(&self) -> u16 {
         self.head.status().as_u16()
     }
--- a/crates/cactusbarrow_gateway/tests/software_versions.rs
+++ b/crates/cactusbarrow_gateway/tests/software_versions.rs
@@ -5,110 +5,26 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use cactusbarrow_adapter_standins::{BackendStandin, CallerHead, Fault};
-use cactusbarrow_net::{Body, EventSplitter};
-use common::{CallerResponse, EVENTS, Gateway, TestCluster, caller_head, eventually, free_ports};
-use http_body_util::BodyExt;
+use cactusbarrow_adapter_standins::{BackendStandin, Fault};
+use common::streams::{
+    MOSTLY_V2, STREAMS, assert_resumed_at_v1, begin_stream, begin_streams, resume_stream, writers,
+};
+use common::{EVENTS, Gateway, TestCluster, caller_head, eventually, free_ports};
 
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Time after which the origin of a stream outlives its gateway.
 const RECORDING_TIME: Duration = Duration::from_millis(1_000);
 
-/// Number of streams in tests whose engines are chosen at random.
-const STREAMS: usize = 4;
-
-/// Software versions of a service in which few engines have the version of the streams.
-const MOSTLY_V2: [&str; 8] = ["v1", "v1", "v2", "v2", "v2", "v2", "v2", "v2"];
-
-/// Returns the software versions that wrote the events of a response.
-fn writers(response: &CallerResponse) -> BTreeSet<&str> {
-    let events = response.text().lines();
-    let events = events.filter(|line| line.starts_with("data: "));
-    events
-        .map(|line| line.rsplit(' ').next().unwrap_or_default())
-        .collect()
-}
-
-/// Sets a fault of all engines that do not have this software version.
-fn set_fault_of_others(cluster: &TestCluster, software: &str, fault: Option<Fault>) {
-    let others = cluster.engines.iter();
-    for engine in others.filter(|engine| engine.software() != software) {
-        engine.set_fault(fault);
-    }
-}
-
 /// Returns the engine that runs the only request.
 fn runner(cluster: &TestCluster) -> Option<&BackendStandin> {
     let mut engines = cluster.engines.iter();
     engines.find(|engine| !engine.runs().is_empty())
 }
 
-/// Has an engine of `software` begin a stream whose caller leaves after some events; returns the
-/// id of the last one that the caller received.
-async fn begin_stream(
-    cluster: &TestCluster,
-    gateway: &Gateway,
-    request_id: &str,
-    software: &str,
-) -> u64 {
-    set_fault_of_others(cluster, software, Some(Fault::NotExecuted));
-    let head = caller_head(request_id, "/stream/1");
-    let req = head.encode(gateway.addr, "POST", Body::full("the body"));
-    let res = gateway.http.send("call", req).await;
-    let mut body = res.expect("the gateway responds").into_body();
-    let mut splitter = EventSplitter::default();
-    let mut last_event = 0;
-    while last_event < 4 {
-        let frame = body.frame().await.expect("the stream goes on");
-        let frame = frame.expect("the connection is sound");
-        splitter.push(frame.data_ref().expect("a frame has data"));
-        while let Some(event) = splitter.next_event().expect("events are well-formed") {
-            let text = String::from_utf8_lossy(&event.bytes);
-            assert!(text.contains(software), "begun by another version: {text}");
-            last_event = event.id.expect("events have ids");
-        }
-    }
-    set_fault_of_others(cluster, software, None);
-    last_event
-}
-
-/// Sends the request of a caller that resumes a stream after `last_event`.
-async fn resume_stream(
-    gateway: &Gateway,
-    request_id: &str,
-    resumes: &str,
-    last_event: u64,
-) -> CallerResponse {
-    let last_event = last_event.to_string();
-    let extra = [("last-event-id", &*last_event), ("resumes", resumes)];
-    let head = CallerHead {
-        extra: &extra,
-        ..caller_head(request_id, "/stream/1")
-    };
-    gateway.call(&head, "POST").await
-}
-
-/// Resumes streams at `gateway` and checks that the version of their first events completes them.
-async fn assert_resumed_at_v1(gateway: &Gateway, begun: &[(String, u64)]) {
-    for (id, last_event) in begun {
-        let response = resume_stream(gateway, &format!("{id}-again"), id, *last_event).await;
-        assert_eq!(response.status(), 200);
-        assert_eq!(
-            response.event_ids(),
-            (last_event + 1..=EVENTS).collect::<Vec<_>>()
-        );
-        assert_eq!(writers(&response), BTreeSet::from(["v1"]));
-    }
-}
-
-async fn begin_streams(cluster: &TestCluster, gateway: &Gateway) -> Vec<(String, u64)> {
-    let mut begun = Vec::new();
-    for i in 0..STREAMS {
-        let id = format!("begun-{i}");
-        let last_event = begin_stream(cluster, gateway, &id, "v1").await;
-        begun.push((id, last_event));
-    }
+/// Has engines of `v1` begin some streams whose origins outlive the gateway.
+async fn begin_recorded_streams(cluster: &TestCluster, gateway: &Gateway) -> Vec<(String, u64)> {
+    let begun = begin_streams(cluster, gateway).await;
     tokio::time::sleep(RECORDING_TIME).await;
     begun
 }
@@ -161,7 +77,7 @@
     let second = cluster.gateway("127.0.0.2", base, "127.0.0.1").await;
     first.wait_until_ready().await;
     second.wait_until_ready().await;
-    let begun = begin_streams(&cluster, &first).await;
+    let begun = begin_recorded_streams(&cluster, &first).await;
     first.handle.stop().await;
     assert_resumed_at_v1(&second, &begun).await;
 }
@@ -171,7 +87,7 @@
 async fn stream_resumes_at_its_software_version_after_all_gateways_ended() {
     let cluster = TestCluster::start_with_software(&MOSTLY_V2, EVENT_INTERVAL).await;
     let first = cluster.one_gateway().await;
-    let begun = begin_streams(&cluster, &first).await;
+    let begun = begin_recorded_streams(&cluster, &first).await;
     first.handle.stop().await;
     let second = cluster.one_gateway().await;
     assert_resumed_at_v1(&second, &begun).await;
@@ -187,7 +103,7 @@
     let cluster = TestCluster::start_with_software(&MOSTLY_V2, EVENT_INTERVAL).await;
     let copy = cluster.store.copy();
     let first = cluster.one_gateway().await;
-    let begun = begin_streams(&cluster, &first).await;
+    let begun = begin_recorded_streams(&cluster, &first).await;
     cluster.store.restore(&copy);
     tokio::time::sleep(2 * RECORDING_TIME).await;
     first.handle.stop().await;
--- a/crates/cactusbarrow_policy/src/lib.rs
+++ b/crates/cactusbarrow_policy/src/lib.rs
@@ -30,6 +30,8 @@
 mod load_balancing;
 mod operator_config;
 mod orders;
+mod origin_holders;
+mod origin_pages;
 mod outcome;
 mod part_quarantine;
 mod peer_fetches;
@@ -89,6 +91,10 @@
     Route, ServiceName, ServiceSpec,
 };
 pub use orders::{EngineOrders, LoadOrder, OrderConfig};
+pub use origin_holders::{
+    ASKED_ORIGIN_HOLDERS, AnnouncedOrigin, ORIGIN_HOLDERS, UnstoredOrigins, origin_holders,
+};
+pub use origin_pages::{OriginPages, origin_write_interval};
 pub use outcome::{Outcome, Reason};
 pub use part_quarantine::{LostAttempt, PartQuarantine, QuarantineConfig, QuarantineVerdict};
 pub use peer_fetches::{PeerFetchConfig, PeerFetches};
@@ -108,10 +114,7 @@
 pub use store_availability::{EndedOutage, StoreAvailability, StoreAvailabilityConfig};
 pub use store_position::{StoreEra, StorePosition};
 pub use store_watch::{StoreStatus, StoreWatchConfig, is_watcher};
-pub use stream_origins::{
-    OriginConfig, OriginPages, ServiceId, StreamId, StreamOrigin, StreamOrigins,
-    origin_write_interval,
-};
+pub use stream_origins::{OriginConfig, ServiceId, StreamId, StreamOrigin, StreamOrigins};
 pub use subset::{SubsetCandidate, SubsetConfig, select_subset};
 pub use suspicion::{SuspicionConfig, SuspicionTimeouts};
 pub use token_buffer::TokenBuffer;
--- a/crates/cactusbarrow_policy/src/peer_table.rs
+++ b/crates/cactusbarrow_policy/src/peer_table.rs
@@ -224,6 +224,16 @@
         self.live_entries(now).map(|(ip, _)| *ip)
     }
 
+    /// Returns the live peers, and gateways that a peer named and that have sent no heartbeat.
+    pub fn live_or_named(&self, now: Instant) -> impl Iterator<Item = Ipv4Addr> + '_ {
+        self.live_peers(now).chain(self.named.keys().copied())
+    }
+
+    /// Returns all gateways that a peer named or that sent a heartbeat, also those that are lost.
+    pub fn known(&self) -> impl Iterator<Item = Ipv4Addr> + '_ {
+        self.peers.keys().chain(self.named.keys()).copied()
+    }
+
     /// Returns the sum of the loads of all live peers, by engine.
     pub fn loads(&self, now: Instant) -> HashMap<u64, PeerLoad> {
         let mut sum: HashMap<u64, PeerLoad> = HashMap::new();
--- a/crates/cactusbarrow_policy/src/stream_origins.rs
+++ b/crates/cactusbarrow_policy/src/stream_origins.rs
@@ -2,8 +2,8 @@
 //!
 //! Load pattern: all gateways end at once, and their callers reconnect to new ones. What two
 //! software versions write does not fit together, so a stream goes on only at the version that
-//! began it. Gateways therefore keep the origins of recent streams in the platform's store, each
-//! in a ring of pages of its own.
+//! began it. Gateways therefore tell the origins of their streams to other gateways
+//! (`origin_holders`) and keep them in the platform's store (`origin_pages`).
 
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
@@ -12,12 +12,6 @@
 use crate::operator_config::ServiceName;
 use crate::software::SoftwareId;
 
-/// Share of the store's writes per second that all gateways together use for origins.
-const WRITE_SHARE: f64 = 0.2;
-
-/// Shortest time between two writes of one gateway.
-const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(200);
-
 /// Identifies a stream by the hash of the id of the request that brought its first event.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct StreamId(pub u64);
@@ -51,7 +45,7 @@
     pub software: SoftwareId,
 }
 
-/// Settings of [`StreamOrigins`] and [`OriginPages`].
+/// Settings of [`StreamOrigins`] and [`OriginPages`](crate::OriginPages).
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct OriginConfig {
     /// Time after which no caller resumes a stream any more, well beyond the longest time-out of a
@@ -86,6 +80,7 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Entry {
+    service: ServiceId,
     software: SoftwareId,
     recorded_at: Instant,
 }
@@ -117,6 +112,7 @@
     pub fn record(&mut self, origin: StreamOrigin, now: Instant) {
         self.record_version(origin.service, origin.software, now);
         let entry = Entry {
+            service: origin.service,
             software: origin.software,
             recorded_at: now,
         };
@@ -139,8 +135,17 @@
 
     /// Returns the software version that began a stream, if it is known.
     pub fn find(&self, stream: StreamId, now: Instant) -> Option<SoftwareId> {
+        self.find_origin(stream, now).map(|origin| origin.software)
+    }
+
+    /// Returns the origin of a stream, if it is known.
+    pub fn find_origin(&self, stream: StreamId, now: Instant) -> Option<StreamOrigin> {
         let entry = self.entries.get(&stream)?;
-        (!self.is_expired(entry.recorded_at, now)).then_some(entry.software)
+        (!self.is_expired(entry.recorded_at, now)).then_some(StreamOrigin {
+            stream,
+            service: entry.service,
+            software: entry.software,
+        })
     }
 
     /// Returns the only software version that can have begun a stream of a service: the one that
@@ -164,101 +169,3 @@
         now.saturating_duration_since(recorded_at) >= self.cfg.retention
     }
 }
-
-#[derive(Clone, Debug, Default)]
-struct Page {
-    origins: Vec<StreamOrigin>,
-    needs_write: bool,
-}
-
-/// Ring of pages in which a gateway keeps the origins of its streams in the store.
-///
-/// Nothing is written before the pages of the gateway's previous incarnation have been loaded,
-/// since their origins are still needed.
-#[derive(Clone, Debug)]
-pub struct OriginPages {
-    cfg: OriginConfig,
-    pages: Vec<Page>,
-    current: usize,
-    opened_at: Option<Instant>,
-    is_loaded: bool,
-}
-
-impl OriginPages {
-    /// Creates an empty ring.
-    pub fn new(cfg: OriginConfig) -> Self {
-        Self {
-            pages: vec![Page::default(); cfg.page_count()],
-            cfg,
-            current: 0,
-            opened_at: None,
-            is_loaded: false,
-        }
-    }
-
-    /// Loads the pages that the store holds, with their slots, the newest last; the ring continues
-    /// on the newest.
-    pub fn load(&mut self, stored: Vec<(usize, Vec<StreamOrigin>)>, now: Instant) {
-        let early = std::mem::take(&mut self.pages[self.current]);
-        for (slot, origins) in stored {
-            if let Some(page) = self.pages.get_mut(slot) {
-                page.origins = origins;
-                self.current = slot;
-            }
-        }
-        let page = &mut self.pages[self.current];
-        page.origins.extend(early.origins);
-        page.needs_write = early.needs_write;
-        self.opened_at = Some(now);
-        self.is_loaded = true;
-    }
-
-    /// Adds the origin of a stream of this gateway.
-    pub fn add(&mut self, origin: StreamOrigin, now: Instant) {
-        let opened_at = *self.opened_at.get_or_insert(now);
-        let is_over = now.saturating_duration_since(opened_at) >= self.cfg.page_span;
-        let is_full = self.pages[self.current].origins.len() >= self.cfg.max_page_entries;
-        if self.is_loaded && (is_over || is_full) {
-            self.current = (self.current + 1) % self.pages.len();
-            self.pages[self.current] = Page::default();
-            self.opened_at = Some(now);
-        }
-        let page = &mut self.pages[self.current];
-        page.origins.push(origin);
-        page.needs_write = true;
-    }
-
-    /// Takes a page that the store does not have yet, with its slot.
-    pub fn take_unwritten(&mut self) -> Option<(usize, Vec<StreamOrigin>)> {
-        if !self.is_loaded {
-            return None;
-        }
-        let slot = self.pages.iter().position(|page| page.needs_write)?;
-        let page = &mut self.pages[slot];
-        page.needs_write = false;
-        Some((slot, page.origins.clone()))
-    }
-
-    /// Records that a page has to be written again, because its write may have failed.
-    pub fn record_unwritten(&mut self, slot: usize) {
-        if let Some(page) = self.pages.get_mut(slot) {
-            page.needs_write = true;
-        }
-    }
-
-    /// Has all pages written again, after the store returned to an older copy.
-    pub fn rewrite(&mut self) {
-        for page in &mut self.pages {
-            page.needs_write = !page.origins.is_empty();
-        }
-    }
-}
-
-/// Returns the time between two writes of one of `gateways`, at most `writes_per_s` of which the
-/// store accepts from all callers.
-pub fn origin_write_interval(gateways: usize, writes_per_s: f64) -> Duration {
-    let seconds = gateways as f64 / (writes_per_s * WRITE_SHARE).max(f64::MIN_POSITIVE);
-    Duration::try_from_secs_f64(seconds)
-        .unwrap_or(Duration::MAX)
-        .max(MIN_WRITE_INTERVAL)
-}
--- a/crates/cactusbarrow_policy/tests/stream_origins.rs
+++ b/crates/cactusbarrow_policy/tests/stream_origins.rs
@@ -124,9 +124,11 @@
 
 #[test]
 fn write_interval_keeps_within_a_share_of_the_stores_writes() {
-    assert_eq!(origin_write_interval(5, 400.0), Duration::from_millis(200));
-    let interval = origin_write_interval(720, 400.0);
-    assert!(720.0 / interval.as_secs_f64() <= 80.0 + 1e-6);
+    assert_eq!(origin_write_interval(3, 400.0), Duration::from_millis(50));
+    for gateways in [5, 30, 250, 720] {
+        let interval = origin_write_interval(gateways, 400.0);
+        assert!(gateways as f64 / interval.as_secs_f64() <= 80.0 + 1e-6);
+    }
     assert_eq!(origin_write_interval(1, 0.0), Duration::MAX);
 }
 
