Send only those requests to backend servers in a stop that end before the exit

Cause: admission compared the time left with one moving average over all routes and sizes, once, on arrival. Most generations are short, and callers that resume the last events of a stream lowered the average further.

Change: GenerationPace bounds the duration of a generation by its size and the pace of its route, with the deviation of earlier ones. Shutdown::can_end is asked with it on arrival, before each attempt is placed, after connecting, and, for generations that arrived in the stop, when their first event arrives. Calls are judged by the time until their caller or route gives up instead of the route's whole time-out. Refusals name the time until the host has left rotation. The tests of the removed functions now check can_end and can_end_generation with the same bounds.

Ruled out: that admitted requests were held up before they were sent; all cut ones were long.

--- a/crates/cactusbarrow_gateway/src/call.rs
+++ b/crates/cactusbarrow_gateway/src/call.rs
@@ -15,7 +15,7 @@
 use crate::backend_connection::{BackendConnection, loss_cause};
 use crate::quarantine::{self, BrokenAttempt};
 use crate::refusal::Refusal;
-use crate::request::{AdmittedRequest, count_refusal};
+use crate::request::{AdmittedRequest, count_refusal, shutdown_retry_after};
 
 /// Size of the largest response, which is held in memory until it is complete.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
@@ -94,6 +94,9 @@
         if quarantine::time_left(&req.shared, parts).is_some() {
             return Err(quarantine_refusal(req, plan, parts));
         }
+        if !req.ends_before_exit() {
+            return Err(plan_refusal(req, plan, Reason::ShuttingDown));
+        }
         let Some((key, entry)) = choose_backend(req, plan) else {
             if may_reconnect(req, plan) && plan.readmit_unreached() {
                 tokio::time::sleep(RECONNECT_DELAY).await;
@@ -176,7 +179,7 @@
         }
     };
     let sent_at = shared.now();
-    if !shared.fleet().is_available(key, sent_at) {
+    if !shared.fleet().is_available(key, sent_at) || !req.ends_before_exit() {
         return (CallEvent::NotConnected, None);
     }
     let exchange = async {
@@ -349,6 +352,9 @@
     reason: Reason,
 ) -> Refusal {
     match outcome {
+        Outcome::NotRun if reason == Reason::ShuttingDown => {
+            Refusal::not_run(reason, shutdown_retry_after(&req.shared))
+        }
         Outcome::NotRun => {
             let wait = req.backoff_wait(&[]);
             Refusal::not_run(reason, wait.unwrap_or_else(|| req.retry_after()))
--- a/crates/cactusbarrow_gateway/src/generation.rs
+++ b/crates/cactusbarrow_gateway/src/generation.rs
@@ -57,7 +57,7 @@
             let refusal = match outcome {
                 Outcome::NotRun => {
                     let wait = stream.quarantine_time_left();
-                    Refusal::not_run(reason, wait.unwrap_or_else(|| stream.retry_after()))
+                    Refusal::not_run(reason, wait.unwrap_or_else(|| stream.retry_after(reason)))
                 }
                 Outcome::Unknown | Outcome::Failed => Refusal::unknown(reason),
             };
@@ -75,7 +75,12 @@
     if !stream.can_complete() {
         return stream.refusal(Reason::Expired);
     }
-    stream.next().await
+    let first = stream.next().await;
+    // An engine that reads the prompt slowly leaves too little time for the rest.
+    if matches!(first, GenerationItem::Event(_)) && !stream.rest_ends_before_exit() {
+        return stream.refusal(Reason::ShuttingDown);
+    }
+    first
 }
 
 fn refuse<C: Clock>(stream: &mut GenerationStream<C>, refusal: &Refusal) -> Response<Body> {
--- a/crates/cactusbarrow_gateway/src/generation/attempt.rs
+++ b/crates/cactusbarrow_gateway/src/generation/attempt.rs
@@ -197,6 +197,10 @@
         if !shared.fleet().is_available(target.key, sent_at) {
             return OpenResult::Failed(ResumeEvent::NotConnected);
         }
+        let has_delivered = last_event_id != req.caller.last_event_id;
+        if !has_delivered && !req.ends_before_exit() {
+            return OpenResult::Failed(ResumeEvent::NotConnected);
+        }
         let engine_request = EngineRequest {
             caller: &req.caller,
             body: req.body.clone(),
--- a/crates/cactusbarrow_gateway/src/generation/stream.rs
+++ b/crates/cactusbarrow_gateway/src/generation/stream.rs
@@ -19,7 +19,7 @@
 
 use super::attempt::{Attempt, AttemptItem, AttemptTarget, OpenResult, RunningAttempt};
 use super::copy_manager::Holder;
-use crate::request::AdmittedRequest;
+use crate::request::{AdmittedRequest, generation_size, shutdown_retry_after};
 use crate::stream_origins;
 use crate::{prompt_search, quarantine};
 use starting::StartingAttempt;
@@ -174,11 +174,9 @@
         self.is_concluded = true;
     }
 
-    /// Records the duration and the pace of a complete generation.
+    /// Records the pace of a complete generation.
     pub(crate) fn record_complete(&self) {
         let shared = &self.req.shared;
-        let duration = shared.elapsed_since(self.req.arrived);
-        shared.shutdown().record_generation(duration);
         if let Some(first_event) = self.first_event_at {
             let times = GenerationTimes {
                 size: self.size(),
@@ -243,14 +241,14 @@
         )
     }
 
+    /// Returns whether the generation, whose first event has arrived, ends before the process exits.
+    pub(crate) fn rest_ends_before_exit(&self) -> bool {
+        self.req.rest_ends_before_exit()
+    }
+
     /// Returns the size of the generation as the caller requested it.
     fn size(&self) -> GenerationSize {
-        let caller = &self.req.caller;
-        GenerationSize {
-            prompt_tokens: caller.prompt_tokens,
-            output_tokens: caller.output_tokens,
-            last_event: caller.last_event_id.unwrap_or(0),
-        }
+        generation_size(&self.req.caller)
     }
 
     /// Returns the engine that has the prompt cached, as the hash of its instance.
@@ -261,8 +259,11 @@
         shared.fleet().is_healthy(engine, now).then_some(engine)
     }
 
-    /// Draws the delay after which the caller may retry a refused generation.
-    pub(crate) fn retry_after(&self) -> Duration {
+    /// Draws the delay after which the caller may retry a generation that was refused for `reason`.
+    pub(crate) fn retry_after(&self, reason: Reason) -> Duration {
+        if reason == Reason::ShuttingDown {
+            return shutdown_retry_after(&self.req.shared);
+        }
         let backoff_wait = self.req.backoff_wait(&[]);
         let limit_wait = || self.req.limit_wait(self.plan.excluded());
         backoff_wait
@@ -474,6 +475,9 @@
         if may_be_deadly && self.quarantine_time_left().is_some() {
             return Some(self.refusal(Reason::QuarantinedPrompt));
         }
+        if self.last_event_at.is_none() && !self.req.ends_before_exit() {
+            return Some(self.refusal(Reason::ShuttingDown));
+        }
         let mut target = self.choose_target();
         if target.is_none() && self.fallback.is_none() && self.plan.readmit_suspected() {
             target = self.choose_target();
--- a/crates/cactusbarrow_gateway/src/request.rs
+++ b/crates/cactusbarrow_gateway/src/request.rs
@@ -7,8 +7,9 @@
 use cactusbarrow_adapter::CallerRequest;
 use cactusbarrow_net::{Body, Clock, RequestBody, collect_limited};
 use cactusbarrow_policy::{
-    BackendKey, CustomerSpec, OperatorConfig, PartId, PromptId, Reason, RequestIdentity,
-    RequestKind, RequestParts, ResolveError, Route, ServiceName, ServiceSpec, retry_after,
+    BackendKey, CustomerSpec, GenerationSize, OperatorConfig, PartId, PromptId, Reason,
+    RequestIdentity, RequestKind, RequestParts, ResolveError, Route, ServiceName, ServiceSpec,
+    retry_after,
 };
 use http::{Request, Response, StatusCode};
 
@@ -84,6 +85,32 @@
     pub(crate) fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(self.shared.now())
     }
+
+    /// Returns whether a generation whose first event has arrived ends before the process exits.
+    ///
+    /// One that arrived before the shutdown goes on in any case: its caller can resume it.
+    pub(crate) fn rest_ends_before_exit(&self) -> bool {
+        let shared = &self.shared;
+        if !shared.shutdown().had_begun_at(self.arrived) {
+            return true;
+        }
+        let size = generation_size(&self.caller);
+        let longest = shared.pace().longest(&self.route, &size, true);
+        let longest = longest.unwrap_or_default().min(self.time_left());
+        shared.shutdown().can_end(shared.now(), longest)
+    }
+
+    /// Returns whether the request ends before the process exits, if it is sent to a backend server now.
+    pub(crate) fn ends_before_exit(&self) -> bool {
+        let time_left = self.time_left();
+        ends_before_exit(
+            &self.shared,
+            &self.route,
+            self.kind,
+            &self.caller,
+            time_left,
+        )
+    }
 }
 
 /// Serves one request of a caller.
@@ -148,18 +175,16 @@
         return Err(refuse_with_retry(Reason::NoConfiguration));
     };
     let (route, customer) = resolve_route(&config, &caller)?;
-    let now = shared.now();
-    if !route.kind.is_generation() && !shared.shutdown().admits_call(now, route.timeout) {
-        return Err(refuse_with_retry(Reason::ShuttingDown));
-    }
-    if route.kind.is_generation() {
-        let admitted = shared.shutdown().admit_generation(shared.now());
-        admitted
-            .map_err(|wait| Refusal::not_run(Reason::ShuttingDown, wait + SHUTDOWN_RETRY_MARGIN))?;
+    let deadline = arrived + timeout.min(route.timeout);
+    let time_left = deadline.saturating_duration_since(shared.now());
+    if !ends_before_exit(shared, &route.name, route.kind, &caller, time_left) {
+        return Err(Refusal::not_run(
+            Reason::ShuttingDown,
+            shutdown_retry_after(shared),
+        ));
     }
     let service = route.draw_service(&mut *shared.rng()).cloned();
     let service = service.ok_or_else(|| refuse_with_retry(Reason::NoSuchService))?;
-    let deadline = arrived + timeout.min(route.timeout);
     let body = read_body(shared, &config, body, deadline, &caller.request_id).await?;
     let priority = customer.and_then(|customer| customer.priority);
     let fingerprint = fingerprint(shared, &caller, customer, &body);
@@ -182,6 +207,47 @@
     })
 }
 
+/// Returns whether a request ends before the process exits, if it is sent to a backend server now.
+///
+/// A call ends when its caller or route gives up at the latest. Most generations end long before, so these are
+/// judged by the pace of their route.
+fn ends_before_exit<C: Clock>(
+    shared: &Shared<C>,
+    route: &str,
+    kind: RequestKind,
+    caller: &CallerRequest,
+    time_left: Duration,
+) -> bool {
+    if !shared.shutdown().has_begun() {
+        return true;
+    }
+    let now = shared.now();
+    if !kind.is_generation() {
+        return shared.shutdown().can_end(now, time_left);
+    }
+    let longest = shared
+        .pace()
+        .longest(route, &generation_size(caller), false);
+    shared
+        .shutdown()
+        .can_end_generation(now, longest, time_left)
+}
+
+/// Returns the size of a generation as its caller requested it.
+pub(crate) fn generation_size(caller: &CallerRequest) -> GenerationSize {
+    GenerationSize {
+        prompt_tokens: caller.prompt_tokens,
+        output_tokens: caller.output_tokens,
+        last_event: caller.last_event_id.unwrap_or(0),
+    }
+}
+
+/// Returns the time after which the load balancer sends callers to other gateways.
+pub(crate) fn shutdown_retry_after<C: Clock>(shared: &Shared<C>) -> Duration {
+    let now = shared.now();
+    shared.shutdown().rotation_time_left(now) + SHUTDOWN_RETRY_MARGIN
+}
+
 fn fingerprint<C: Clock>(
     shared: &Shared<C>,
     caller: &CallerRequest,
--- a/crates/cactusbarrow_gateway/tests/common/mod.rs
+++ b/crates/cactusbarrow_gateway/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "each test file uses some of the items")]
 
 pub(crate) mod cut_proxy;
+pub(crate) mod offset_clock;
 pub(crate) mod streams;
 
 use std::net::{SocketAddr, TcpListener};
@@ -15,7 +16,7 @@
     entry_json_with_software, settings_yaml,
 };
 use cactusbarrow_gateway::{GatewayHandle, start};
-use cactusbarrow_net::{Body, HttpClient, HttpVersion, SystemClock};
+use cactusbarrow_net::{Body, Clock, HttpClient, HttpVersion, SystemClock};
 use http::{Response, StatusCode};
 use http_body_util::{BodyExt, Collected};
 use hyper::body::Incoming;
@@ -125,11 +126,22 @@
         seed: &str,
         store: SocketAddr,
     ) -> Gateway {
+        Self::gateway_with_clock(ip, base, seed, store, SystemClock).await
+    }
+
+    /// Starts the same, with another clock.
+    pub(crate) async fn gateway_with_clock<C: Clock>(
+        ip: &str,
+        base: u16,
+        seed: &str,
+        store: SocketAddr,
+        clock: C,
+    ) -> Gateway<C> {
         let yaml = settings_yaml(&format!("front-{ip}"), ip, base, seed, store);
         let settings = parse_settings(&yaml).expect("settings are valid");
         let addr = settings.callers;
         let health = settings.health;
-        let handle = start(settings, SystemClock).await.expect("start a gateway");
+        let handle = start(settings, clock).await.expect("start a gateway");
         Gateway {
             handle,
             addr,
@@ -140,8 +152,13 @@
 
     /// Starts a gateway without peers and waits until it is ready.
     pub(crate) async fn one_gateway(&self) -> Gateway {
-        let base = free_ports("127.0.0.1");
-        let gateway = self.gateway("127.0.0.1", base, "127.0.0.1").await;
+        self.one_gateway_with_clock(SystemClock).await
+    }
+
+    /// Starts the same, with another clock.
+    pub(crate) async fn one_gateway_with_clock<C: Clock>(&self, clock: C) -> Gateway<C> {
+        let (ip, store) = ("127.0.0.1", self.store.addr());
+        let gateway = Self::gateway_with_clock(ip, free_ports(ip), ip, store, clock).await;
         gateway.wait_until_ready().await;
         gateway
     }
@@ -168,14 +185,14 @@
 }
 
 /// A gateway and a client for its callers and health checks.
-pub(crate) struct Gateway {
-    pub(crate) handle: GatewayHandle<SystemClock>,
+pub(crate) struct Gateway<C: Clock = SystemClock> {
+    pub(crate) handle: GatewayHandle<C>,
     pub(crate) addr: SocketAddr,
     pub(crate) health: SocketAddr,
     pub(crate) http: HttpClient,
 }
 
-impl Gateway {
+impl<C: Clock> Gateway<C> {
     pub(crate) async fn wait_until_ready(&self) {
         eventually("the gateway is ready", || self.handle.status().is_ready).await;
     }
--- a/crates/cactusbarrow_gateway/tests/common/streams.rs
+++ b/crates/cactusbarrow_gateway/tests/common/streams.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use cactusbarrow_adapter_standins::{CallerHead, Fault};
-use cactusbarrow_net::{Body, EventSplitter};
+use cactusbarrow_net::{Body, Clock, EventSplitter};
 use http_body_util::BodyExt;
 
 use super::{CallerResponse, EVENTS, Gateway, TestCluster, caller_head};
@@ -61,8 +61,8 @@
 }
 
 /// Sends the request of a caller that resumes a stream after `last_event`.
-pub(crate) async fn resume_stream(
-    gateway: &Gateway,
+pub(crate) async fn resume_stream<C: Clock>(
+    gateway: &Gateway<C>,
     request_id: &str,
     resumes: &str,
     last_event: u64,
--- a/crates/cactusbarrow_gateway/tests/shutdown_end.rs
+++ b/crates/cactusbarrow_gateway/tests/shutdown_end.rs
@@ -2,13 +2,16 @@
 
 mod common;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
-use cactusbarrow_adapter_standins::{Fault, config_json};
-use common::{EVENTUALLY_TIMEOUT, KEY, TestCluster};
+use cactusbarrow_adapter_standins::{CallerHead, Fault, config_json};
+use cactusbarrow_net::{Body, HttpClient};
+use common::{CallerResponse, EVENTS, EVENTUALLY_TIMEOUT, Gateway, KEY, TestCluster, caller_head};
 use serde_json::Value;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::task::JoinSet;
 
 /// Returns a configuration whose time-outs end after the grace period.
 fn config_with_long_timeouts() -> String {
@@ -21,7 +24,7 @@
 }
 
 /// Sends the head of a request and the first bytes of its body.
-async fn send_part(gateway: std::net::SocketAddr, id: &str, path: &str, body: &str) -> TcpStream {
+async fn send_part(gateway: SocketAddr, id: &str, path: &str, body: &str) -> TcpStream {
     let mut conn = TcpStream::connect(gateway).await.expect("connect");
     let head = format!(
         "POST {path} HTTP/1.1\r\nhost: ficu.example\r\ncactusbarrow-request-id: {id}\r\n\
@@ -74,3 +77,86 @@
     drop(conns);
     assert!(stop.await, "all connections ended");
 }
+
+const EVENT_INTERVAL: Duration = Duration::from_millis(60);
+
+/// Generations that are measured before the stop, and callers that each resume one near its end.
+const MEASURED: usize = 8;
+const RESUMED: usize = 40;
+
+/// Last event of the callers that resume near the end.
+const NEAR_END: u64 = EVENTS - 2;
+
+/// Time of the stop at which a request arrives that keeps the gateway from ending early.
+const HOLD: Duration = Duration::from_millis(2_000);
+
+/// Times of the stop, of 4 s, at which a whole generation of 1.8 s still ends before the exit, and at which
+/// it does not.
+const EARLY: Duration = Duration::from_millis(300);
+const LATE: Duration = Duration::from_millis(2_900);
+
+/// Sends a generation; `last_event` is the last event of a caller that resumes the first measured one.
+async fn send_generation(
+    http: HttpClient,
+    gateway: SocketAddr,
+    id: String,
+    last_event: Option<u64>,
+) -> CallerResponse {
+    let last_event = last_event.map(|last_event| last_event.to_string());
+    let extra: Vec<_> = last_event
+        .iter()
+        .flat_map(|last_event| [("last-event-id", &**last_event), ("resumes", "measured-0")])
+        .collect();
+    let head = CallerHead {
+        extra: &extra,
+        ..caller_head(&id, "/stream/1")
+    };
+    let req = head.encode(gateway, "POST", Body::full("the body"));
+    let res = http.send("call", req).await.expect("the gateway responds");
+    CallerResponse::collect(res).await
+}
+
+/// Guards against generations that a stopping gateway admits by the mean of others and cuts at its exit
+/// (review/2).
+#[tokio::test]
+async fn generation_that_would_be_cut_at_the_exit_is_not_sent_to_an_engine() {
+    let cluster = TestCluster::start_with_interval(2, EVENT_INTERVAL).await;
+    let Gateway {
+        handle, addr, http, ..
+    } = cluster.one_gateway().await;
+    let send =
+        |id: &str, last_event| send_generation(http.clone(), addr, id.to_owned(), last_event);
+    let mut measured = JoinSet::new();
+    for i in 0..MEASURED {
+        measured.spawn(send(&format!("measured-{i}"), None));
+    }
+    for response in measured.join_all().await {
+        assert_eq!(response.event_ids().len() as u64, EVENTS);
+    }
+    for i in 0..RESUMED {
+        let response = send(&format!("end-{i}"), Some(NEAR_END)).await;
+        assert_eq!(response.event_ids(), [EVENTS - 1, EVENTS]);
+    }
+    let send_at = async |at: Duration, id: &str, last_event| {
+        tokio::time::sleep(at).await;
+        send(id, last_event).await
+    };
+    let hold = async {
+        tokio::time::sleep(HOLD).await;
+        let mut conn = send_part(addr, "arriving", "/write/1", "part").await;
+        status_line(&mut conn).await
+    };
+    let (is_clean, _, early, late, end) = tokio::join!(
+        handle.stop(),
+        hold,
+        send_at(EARLY, "early", None),
+        send_at(LATE, "late", None),
+        send_at(LATE, "late-end", Some(NEAR_END)),
+    );
+    assert!(is_clean, "a generation was open at the exit");
+    assert_eq!(early.event_ids().len() as u64, EVENTS);
+    assert_eq!(late.status(), 503);
+    assert!(late.head.headers().contains_key("retry-after"));
+    assert_eq!(cluster.run_count("late"), 0);
+    assert_eq!(end.event_ids(), [EVENTS - 1, EVENTS]);
+}
--- a/crates/cactusbarrow_policy/src/shutdown.rs
+++ b/crates/cactusbarrow_policy/src/shutdown.rs
@@ -16,7 +16,7 @@
     pub exit_reserve: Duration,
     /// Time before the exit at which requests that are still open are refused.
     pub refusal_reserve: Duration,
-    /// Initial value of the average duration of a generation.
+    /// Duration that is assumed of a generation whose route has completed none.
     pub default_generation_time: Duration,
 }
 
@@ -31,16 +31,12 @@
     }
 }
 
-/// Weight of the newest generation in the moving average of the durations.
-const NEWEST_WEIGHT: f64 = 0.1;
-
-/// Shutdown state of a gateway and the average duration of its generations.
+/// Shutdown state of a gateway.
 #[derive(Clone, Debug)]
 pub struct Shutdown {
     cfg: ShutdownConfig,
     grace: Duration,
     started_at: Option<Instant>,
-    mean_generation_time: Duration,
 }
 
 impl Shutdown {
@@ -53,17 +49,9 @@
             cfg,
             grace,
             started_at: None,
-            mean_generation_time: cfg.default_generation_time,
         }
     }
 
-    /// Records the duration of a complete generation.
-    pub fn record_generation(&mut self, took: Duration) {
-        let mean = self.mean_generation_time.as_secs_f64();
-        let mean = mean + NEWEST_WEIGHT * (took.as_secs_f64() - mean);
-        self.mean_generation_time = Duration::from_secs_f64(mean);
-    }
-
     /// Begins the shutdown.
     pub fn begin(&mut self, now: Instant) {
         self.started_at.get_or_insert(now);
@@ -74,6 +62,11 @@
         self.started_at.is_some()
     }
 
+    /// Returns whether the shutdown had begun at a time.
+    pub fn had_begun_at(&self, at: Instant) -> bool {
+        self.started_at.is_some_and(|started_at| started_at <= at)
+    }
+
     /// Returns the time until the host is out of the load balancer's rotation; zero if the
     /// shutdown has not begun.
     pub fn rotation_time_left(&self, now: Instant) -> Duration {
@@ -97,18 +90,21 @@
         time_left.saturating_sub(self.cfg.refusal_reserve)
     }
 
-    /// Returns whether a new call is admitted: its whole time-out must pass before the exit.
-    pub fn admits_call(&self, now: Instant, timeout: Duration) -> bool {
-        !self.has_begun() || self.time_left(now) >= timeout
+    /// Returns whether work that takes at most `longest` ends before the exit; it is asked before a request is
+    /// sent to a backend server.
+    pub fn can_end(&self, now: Instant, longest: Duration) -> bool {
+        !self.has_begun() || self.time_left(now) >= longest
     }
 
-    /// Admits a new generation if it can be expected to complete before the exit.
-    ///
-    /// `Err` holds the time after which its caller may retry.
-    pub fn admit_generation(&self, now: Instant) -> Result<(), Duration> {
-        if !self.has_begun() || self.time_left(now) >= self.mean_generation_time {
-            return Ok(());
-        }
-        Err(self.rotation_time_left(now))
+    /// Returns whether a generation ends before the exit, given the time that it takes at most by the pace of its
+    /// route, if that is known, and the time until its caller gives up.
+    pub fn can_end_generation(
+        &self,
+        now: Instant,
+        longest: Option<Duration>,
+        caller_time_left: Duration,
+    ) -> bool {
+        let longest = longest.unwrap_or(self.cfg.default_generation_time);
+        self.can_end(now, longest.min(caller_time_left))
     }
 }
--- a/crates/cactusbarrow_policy/tests/generation_pace.rs
+++ b/crates/cactusbarrow_policy/tests/generation_pace.rs
@@ -167,3 +167,91 @@
         prop_assert!(pace.can_complete(ROUTE, &resumed_after(received), false, left, now));
     }
 }
+
+/// Guards against long generations that are judged by the mean of short ones (review/2): most are
+/// short, and resumed ones end after a few events.
+#[test]
+fn long_generation_is_not_judged_by_short_and_resumed_ones() {
+    let mut pace = GenerationPace::default();
+    let short = GenerationSize {
+        prompt_tokens: 500,
+        output_tokens: 96,
+        last_event: 0,
+    };
+    let interval = Duration::from_millis(30);
+    for _ in 0..20 {
+        pace.record(ROUTE, &typical_times());
+        for _ in 0..5 {
+            pace.record(
+                ROUTE,
+                &times(short, Duration::from_millis(120), interval, 12),
+            );
+            let mut rest = times(resumed_after(140), Duration::from_millis(20), interval, 11);
+            rest.last_event = 150;
+            pace.record(ROUTE, &rest);
+        }
+    }
+    let longest = |size: &GenerationSize| pace.longest(ROUTE, size, false).expect("a pace");
+    let took = typical_times().end - typical_times().arrived;
+    assert!(longest(&SIZE) > took, "{:?}", longest(&SIZE));
+    assert!(longest(&SIZE) < took * 2, "{:?}", longest(&SIZE));
+    let took = Duration::from_millis(120) + interval * 11;
+    assert!(longest(&short) > took, "{:?}", longest(&short));
+    assert!(longest(&short) < took * 3, "{:?}", longest(&short));
+}
+
+#[test]
+fn resumed_generation_is_judged_by_what_is_left() {
+    let (pace, _) = measured_pace();
+    let longest = |size: &GenerationSize| pace.longest(ROUTE, size, true).expect("a pace");
+    assert!(longest(&resumed_after(140)) < Duration::from_millis(1_000));
+    assert!(longest(&SIZE) > Duration::from_millis(30) * 149);
+    assert_eq!(pace.longest("unknown", &SIZE, true), None);
+}
+
+/// Load pattern: engines slow down to half their pace within seconds.
+#[test]
+fn pace_that_has_just_changed_counts_at_once() {
+    let (mut pace, _) = measured_pace();
+    let slow = times(
+        SIZE,
+        Duration::from_millis(2_400),
+        Duration::from_millis(60),
+        150,
+    );
+    for _ in 0..2 {
+        pace.record(ROUTE, &slow);
+    }
+    let longest = pace.longest(ROUTE, &SIZE, false).expect("a pace");
+    assert!(longest > slow.end - slow.arrived, "{longest:?}");
+}
+
+proptest! {
+    #![proptest_config(fixed_seed_config(200))]
+
+    /// Guards against generations that take longer than they were assumed to, while their pace varies by
+    /// a quarter.
+    #[test]
+    fn generations_rarely_take_longer_than_assumed(
+        paces in prop::collection::vec((0.75_f64..1.25, 1_u64..20), 40..80),
+    ) {
+        let mut pace = GenerationPace::default();
+        let (mut judged, mut late) = (0, 0);
+        for (factor, length) in paces {
+            let size = GenerationSize {
+                prompt_tokens: 250 * length,
+                output_tokens: 80 * length,
+                last_event: 0,
+            };
+            let read = Duration::from_millis(60 * length).mul_f64(factor);
+            let interval = Duration::from_millis(30).mul_f64(factor);
+            let times = times(size, read, interval, 10 * length);
+            if let Some(longest) = pace.longest(ROUTE, &size, false) {
+                judged += 1;
+                late += u32::from(times.end - times.arrived > longest);
+            }
+            pace.record(ROUTE, &times);
+        }
+        prop_assert!(late * 50 <= judged, "{late} of {judged}");
+    }
+}
--- a/crates/cactusbarrow_policy/tests/shutdown.rs
+++ b/crates/cactusbarrow_policy/tests/shutdown.rs
@@ -6,17 +6,40 @@
 
 const GRACE: Duration = Duration::from_secs(8);
 
+/// Time until a caller gives up.
+const CALLER_TIME: Duration = Duration::from_secs(25);
+
 #[test]
 fn generation_that_can_complete_in_time_is_admitted() {
     let now = Instant::now();
     let mut shutdown = Shutdown::new(ShutdownConfig::default(), GRACE);
-    assert_eq!(shutdown.admit_generation(now), Ok(()));
+    let longest = Some(Duration::from_secs(60));
+    assert!(shutdown.can_end_generation(now, longest, CALLER_TIME));
     shutdown.begin(now);
-    assert_eq!(
-        shutdown.admit_generation(now),
-        Ok(()),
-        "it needs 6 s of the remaining 7.7 s"
+    assert!(!shutdown.can_end_generation(now, longest, CALLER_TIME));
+    let is_admitted = shutdown.can_end_generation(now, None, CALLER_TIME);
+    assert!(
+        is_admitted,
+        "it is assumed to need 6 s of the remaining 7.7 s"
     );
+    let late = now + Duration::from_secs(7);
+    let short = Some(Duration::from_millis(600));
+    assert!(shutdown.can_end_generation(late, short, CALLER_TIME));
+    let is_admitted = shutdown.can_end_generation(late, longest, Duration::from_millis(600));
+    assert!(is_admitted, "its caller gives up before the exit");
+}
+
+/// Guards against long generations that a stopping gateway admits and cuts at its exit (review/2).
+#[test]
+fn generation_that_the_exit_would_interrupt_is_not_admitted() {
+    let now = Instant::now();
+    let mut shutdown = Shutdown::new(ShutdownConfig::default(), GRACE);
+    shutdown.begin(now);
+    let late = now + Duration::from_secs(3);
+    let longest = Some(Duration::from_millis(4_800));
+    assert!(!shutdown.can_end_generation(late, longest, CALLER_TIME));
+    let is_admitted = shutdown.can_end_generation(late, None, CALLER_TIME);
+    assert!(!is_admitted, "nothing is known of its route");
 }
 
 /// Load pattern: most hosts of a zone shut down at once, so the load balancer sends callers to
@@ -26,12 +49,12 @@
     let now = Instant::now();
     let timeout = Duration::from_millis(1_200);
     let mut shutdown = Shutdown::new(ShutdownConfig::default(), GRACE);
-    assert!(shutdown.admits_call(now, timeout));
+    assert!(shutdown.can_end(now, timeout));
     shutdown.begin(now);
-    assert!(shutdown.admits_call(now + Duration::from_secs(3), timeout));
+    assert!(shutdown.can_end(now + Duration::from_secs(3), timeout));
     let late = now + Duration::from_millis(7_480);
     assert!(
-        !shutdown.admits_call(late, timeout),
+        !shutdown.can_end(late, timeout),
         "the process exits 220 ms later"
     );
 }
@@ -41,13 +64,10 @@
     let now = Instant::now();
     let cfg = ShutdownConfig::default();
     let mut shutdown = Shutdown::new(cfg, GRACE);
-    for _ in 0..100 {
-        shutdown.record_generation(Duration::from_secs(10));
-    }
+    assert_eq!(shutdown.rotation_time_left(now), Duration::ZERO);
     shutdown.begin(now);
     let at = now + Duration::from_millis(300);
-    let wait = shutdown
-        .admit_generation(at)
-        .expect_err("it cannot complete in time");
+    assert!(!shutdown.can_end_generation(at, Some(Duration::from_secs(10)), CALLER_TIME));
+    let wait = shutdown.rotation_time_left(at);
     assert_eq!(at + wait, now + cfg.rotation_exit_delay);
 }
