Continue a stream of unknown origin only with proof that one version served

Cause: a gateway took the versions that were listed, and those it had seen since its start, for all that there had been. A page of origins cannot hold what was never written, and absence of a record was taken for a proof.

Change: pages of origins name the versions at which their gateway may begin streams. Resumable streams begin only at versions that such a page of this gateway or a live peer names. Without a known origin a stream goes on only if the pages of all gateways, or a list that this gateway has followed without a gap for a minute, show one version. A page that cannot be decoded, or a recent return of the store to a copy, is no proof.

The test stream_of_unknown_origin_resumes_where_all_engines_have_one_software_version asserted the fault: a gateway that had just started resumed a stream of unknown origin. It now checks that this is refused there, and resumed after a minute of following the list. sole_version moved, with its test, to VersionHistory and also needs the time. Three tests that resumed without an origin now name it or advance the clock.

--- a/crates/cactusbarrow_gateway/src/generation/stream.rs
+++ b/crates/cactusbarrow_gateway/src/generation/stream.rs
@@ -478,6 +478,7 @@
         if self.last_event_at.is_none() && !self.req.ends_before_exit() {
             return Some(self.refusal(Reason::ShuttingDown));
         }
+        self.wait_for_stored_version().await;
         let mut target = self.choose_target();
         if target.is_none() && self.fallback.is_none() && self.plan.readmit_suspected() {
             target = self.choose_target();
--- a/crates/cactusbarrow_gateway/src/origin_store.rs
+++ b/crates/cactusbarrow_gateway/src/origin_store.rs
@@ -1,5 +1,6 @@
 //! Keeps the origins of streams in the platform's store.
 
+use std::collections::HashSet;
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -8,9 +9,12 @@
 use cactusbarrow_adapter::{KeyValue, StoreClient, StoreError};
 use cactusbarrow_net::Clock;
 use cactusbarrow_policy::{
-    Backoff, ServiceId, SoftwareId, StreamId, StreamOrigin, origin_write_interval,
+    Backoff, OriginConfig, ServedPage, ServedVersion, ServedVersions, ServiceId, SoftwareId,
+    StoreEra, StreamId, StreamOrigin, origin_write_interval,
+};
+use cactusbarrow_protocol::generated::{
+    ServedVersion as WireVersion, StreamOriginGroup, StreamOriginPage,
 };
-use cactusbarrow_protocol::generated::{StreamOriginGroup, StreamOriginPage};
 use prost::Message;
 use tokio_util::sync::CancellationToken;
 
@@ -30,34 +34,60 @@
 /// replace a newer page.
 const LATE_WRITE_TIME: Duration = Duration::from_secs(5);
 
-/// Time and success of the last read of all pages: its start, or its end if it failed. It stays
-/// locked during a read, so that other callers wait for its result.
-pub(crate) type LastRead = tokio::sync::Mutex<Option<(Instant, bool)>>;
+/// Start of the last read of all pages, or its end if it failed, and the versions that they tell. It stays locked
+/// during a read, so that other callers wait for its result.
+pub(crate) type LastRead = tokio::sync::Mutex<Option<(Instant, Option<ServedVersions>)>>;
 
-/// Reads the pages of all gateways, unless the last read was just now; returns whether it succeeded.
-pub(crate) async fn read_pages<C: Clock>(shared: &Shared<C>) -> bool {
+/// Reads the pages of all gateways, unless the last read was just now.
+///
+/// Returns the versions at which gateways may have begun streams; `None` if the store could not be read.
+pub(crate) async fn read_pages<C: Clock>(shared: &Shared<C>) -> Option<ServedVersions> {
     let mut last_read = shared.last_origin_read().lock().await;
     let now = shared.now();
-    if let Some((at, is_ok)) = *last_read
-        && now.saturating_duration_since(at) < READ_INTERVAL
+    if let Some((at, served)) = &*last_read
+        && now.saturating_duration_since(*at) < READ_INTERVAL
     {
-        return is_ok;
+        return served.clone();
     }
     metrics::counter!("gateway_store_calls_total").increment(1);
     let known_era = shared.servers_position().era;
     let result = shared.store().read_all(PAGES_PREFIX, known_era).await;
-    match &result {
+    let served = match &result {
         Ok(snapshot) => {
-            for item in &snapshot.items {
-                apply_page(shared, item);
+            let pages: Vec<_> = snapshot.items.iter().map(decode_page).collect();
+            for page in pages.iter().flatten() {
+                record_origins(shared, page);
             }
+            let served = pages.iter().map(Option::as_ref);
+            let served: Vec<_> = served
+                .map(|page| page.map(|page| served_page(shared, page)))
+                .collect();
+            let retention = OriginConfig::default().retention;
+            let era = snapshot.position.era;
+            Some(ServedVersions::collect(&served, era, retention))
         }
-        Err(e) => log::warn!(dependency = "store", step = e.step; "origins not read: {e}"),
-    }
+        Err(e) => {
+            log::warn!(dependency = "store", step = e.step; "origins not read: {e}");
+            None
+        }
+    };
     // Callers that waited for a read that failed do not repeat it one after another.
     let at = if result.is_ok() { now } else { shared.now() };
-    *last_read = Some((at, result.is_ok()));
-    result.is_ok()
+    *last_read = Some((at, served.clone()));
+    served
+}
+
+/// Returns what a page tells about the versions that its gateway served; one of an earlier release states no
+/// time, so it counts as expired.
+fn served_page<C: Clock>(shared: &Shared<C>, page: &StreamOriginPage) -> ServedPage {
+    let written_at = Duration::from_millis(page.unix_ms);
+    ServedPage {
+        served: page.served.iter().copied().map(version_from_wire).collect(),
+        age: shared.unix_time().saturating_sub(written_at),
+        is_complete: !page.is_incomplete,
+        era: StoreEra(page.store_era),
+        era_age: Duration::from_millis(page.era_age_ms),
+    }
 }
 
 /// Records the origins on a page; returns whether the item is a page.
@@ -65,12 +95,18 @@
     if !item.key.starts_with(PAGES_PREFIX) {
         return false;
     }
+    if let Some(page) = decode_page(item) {
+        record_origins(shared, &page);
+    }
+    true
+}
+
+fn record_origins<C: Clock>(shared: &Shared<C>, page: &StreamOriginPage) {
     let now = shared.now();
     let mut table = shared.origins();
-    for origin in decode_page(item) {
+    for origin in origins_of(page) {
         table.record(origin, now);
     }
-    true
 }
 
 /// Writes this gateway's pages until `stop` is cancelled.
@@ -106,10 +142,32 @@
     let slot_of = |item: &KeyValue| item.key.strip_prefix(&prefix)?.parse::<usize>().ok();
     let stored = items
         .iter()
-        .filter_map(|item| Some((slot_of(item)?, decode_page(item))));
+        .filter_map(|item| Some((slot_of(item)?, origins_of(&decode_page(item)?).collect())));
     shared.origin_pages().load(stored.collect(), shared.now());
     for item in &items {
-        apply_page(shared, item);
+        match decode_page(item) {
+            Some(page) => {
+                record_origins(shared, &page);
+                record_served(shared, &page);
+            }
+            None => shared.versions().record_unknown(shared.now()),
+        }
+    }
+}
+
+/// Records the versions that an earlier incarnation of this gateway served, so that the next write of the page
+/// names them.
+fn record_served<C: Clock>(shared: &Shared<C>, page: &StreamOriginPage) {
+    let served = served_page(shared, page);
+    if served.age >= ServedVersions::PAGE_EXPIRY {
+        return;
+    }
+    let now = shared.now();
+    if !served.is_complete {
+        shared.versions().record_unknown(now);
+    }
+    for (service, software) in served.served {
+        shared.versions().record(service, software, now);
     }
 }
 
@@ -123,6 +181,9 @@
         let Some((slot, origins)) = unwritten else {
             tokio::select! {
                 () = shared.origin_change().notified() => {}
+                () = tokio::time::sleep(ServedVersions::REFRESH_INTERVAL) => {
+                    shared.origin_pages().refresh();
+                }
                 slot = wait_for_repeat(uncertain) => {
                     uncertain = None;
                     shared.origin_pages().record_unwritten(slot);
@@ -131,12 +192,12 @@
             continue;
         };
         metrics::counter!("gateway_store_calls_total").increment(1);
-        match store
-            .put(&format!("{prefix}{slot}"), &encode_page(&origins), None)
-            .await
-        {
+        let served = served_versions(shared);
+        let page = encode_page(shared, &origins, &served);
+        match store.put(&format!("{prefix}{slot}"), &page, None).await {
             Ok(()) => {
                 failures = 0;
+                shared.record_stored(served.into_iter());
                 shared.origin_pages().record_written(slot);
             }
             Err(e) => {
@@ -181,8 +242,21 @@
     format!("{PAGES_PREFIX}{ip}/")
 }
 
-fn encode_page(origins: &[StreamOrigin]) -> Bytes {
-    let mut page = StreamOriginPage::default();
+fn encode_page<C: Clock>(
+    shared: &Shared<C>,
+    origins: &[StreamOrigin],
+    served: &HashSet<ServedVersion>,
+) -> Bytes {
+    let era = shared.servers_position().era;
+    let era_age = shared.versions().record_era(era, shared.now());
+    let mut page = StreamOriginPage {
+        served: served.iter().copied().map(version_to_wire).collect(),
+        unix_ms: shared.unix_time().as_millis() as u64,
+        store_era: era.0,
+        era_age_ms: era_age.as_millis() as u64,
+        is_incomplete: !shared.versions().is_known(shared.now()),
+        ..StreamOriginPage::default()
+    };
     for origin in origins {
         let (service, software) = (origin.service.0, origin.software.0);
         let is_same =
@@ -199,22 +273,56 @@
     page.encode_to_vec().into()
 }
 
-/// Decodes a page; one that another writer has damaged holds no origins.
-fn decode_page(item: &KeyValue) -> Vec<StreamOrigin> {
-    let page = match StreamOriginPage::decode(item.value.clone()) {
-        Ok(page) => page,
+/// Decodes a page; returns `None` for one that another writer has damaged.
+fn decode_page(item: &KeyValue) -> Option<StreamOriginPage> {
+    match StreamOriginPage::decode(item.value.clone()) {
+        Ok(page) => Some(page),
         Err(e) => {
             log::warn!(key = item.key.as_str(); "page of origins cannot be decoded: {e}");
-            return Vec::new();
+            None
         }
-    };
-    let groups = page.groups.iter();
-    let origins = groups.flat_map(|group| {
+    }
+}
+
+/// Returns the origins on a page.
+fn origins_of(page: &StreamOriginPage) -> impl Iterator<Item = StreamOrigin> + '_ {
+    page.groups.iter().flat_map(|group| {
         group.streams.iter().map(|stream| StreamOrigin {
             stream: StreamId(*stream),
             service: ServiceId(group.service),
             software: SoftwareId(group.software),
         })
-    });
-    origins.collect()
+    })
+}
+
+pub(crate) fn version_to_wire((service, software): ServedVersion) -> WireVersion {
+    WireVersion {
+        service: service.0,
+        software: software.0,
+    }
+}
+
+pub(crate) fn version_from_wire(wire: WireVersion) -> ServedVersion {
+    (ServiceId(wire.service), SoftwareId(wire.software))
+}
+
+/// Returns the versions at which this gateway begins streams or recently did.
+fn served_versions<C: Clock>(shared: &Shared<C>) -> HashSet<ServedVersion> {
+    let mut served = shared.fleet().served_versions();
+    served.extend(shared.versions().recent(shared.now()));
+    served
+}
+
+/// Has the page written again if the store does not show all versions that are listed.
+pub(crate) fn check_served<C: Clock>(shared: &Shared<C>) {
+    let served = shared.fleet().served_versions();
+    let is_stored = {
+        let versions = shared.versions();
+        let mut served = served.iter();
+        served.all(|(service, software)| versions.is_own_stored(*service, *software))
+    };
+    if !is_stored {
+        shared.origin_pages().refresh();
+        shared.origin_change().notify_one();
+    }
 }
--- a/crates/cactusbarrow_gateway/src/peers.rs
+++ b/crates/cactusbarrow_gateway/src/peers.rs
@@ -17,7 +17,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::shared::Shared;
-use crate::{origin_exchange, peer_knowledge, quarantine};
+use crate::{origin_exchange, origin_store, peer_knowledge, quarantine};
 
 /// Size of the largest heartbeat in bytes, which fits into one packet.
 const MAX_HEARTBEAT_BYTES: usize = 1_400;
@@ -34,6 +34,9 @@
 /// Largest number of prompts in a heartbeat, each 20 bytes.
 const MAX_HEARTBEAT_PROMPTS: usize = 12;
 
+/// Largest number of software versions in a heartbeat, each 20 bytes.
+const MAX_HEARTBEAT_VERSIONS: usize = 8;
+
 /// Largest number of peers named in a heartbeat, each 4 bytes.
 const MAX_HEARTBEAT_PEERS: usize = 40;
 
@@ -123,6 +126,12 @@
             .map(prompt_to_wire)
             .collect(),
         origins_stored_before: shared.origin_pages().stored_before(),
+        stored_versions: shared
+            .versions()
+            .stored()
+            .take(MAX_HEARTBEAT_VERSIONS)
+            .map(origin_store::version_to_wire)
+            .collect(),
         ..GatewayHeartbeat::default()
     };
     heartbeat.limits = shared
@@ -237,6 +246,8 @@
     shared
         .unstored_origins()
         .record_stored(from, wire.incarnation, wire.origins_stored_before);
+    let stored = wire.stored_versions.iter().copied();
+    shared.record_peer_stored(stored.map(origin_store::version_from_wire));
     for (service, count) in begun {
         shared.quarantine().count_begun(service, count, now);
     }
--- a/crates/cactusbarrow_gateway/src/shared.rs
+++ b/crates/cactusbarrow_gateway/src/shared.rs
@@ -4,7 +4,7 @@
 use std::net::{IpAddr, Ipv4Addr};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, UNIX_EPOCH};
 
 use cactusbarrow_adapter::{GatewaySettings, KeyValue, StoreClient};
 use cactusbarrow_net::Clock;
@@ -12,9 +12,9 @@
     BackendFleet, BackendKey, FleetConfig, GenerationPace, KeyAgreement, LossCause, OperatorConfig,
     OperatorConfigCell, OriginConfig, OriginPages, PartQuarantine, PeerConfig, PeerTable,
     PromptLocationConfig, PromptLocations, QuarantineConfig, RetryCount, RetryLimits, RetryWindow,
-    Revision, ServiceId, ServiceName, Shutdown, ShutdownConfig, StoreAvailability, StoreEra,
-    StorePosition, StoreStatus, StoreWatchConfig, StreamOrigins, UnstoredOrigins, is_watcher,
-    stable_hash, start_wait,
+    Revision, ServedVersion, ServiceId, ServiceName, Shutdown, ShutdownConfig, StoreAvailability,
+    StoreEra, StorePosition, StoreStatus, StoreWatchConfig, StreamOrigins, UnstoredOrigins,
+    VersionHistory, is_watcher, stable_hash, start_wait,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -177,6 +177,9 @@
     /// Wakes the writer of origins.
     origin_change: Notify,
     last_origin_read: LastRead,
+    versions: Mutex<VersionHistory>,
+    /// Number of times that the store was found to hold further versions.
+    stored_versions: watch::Sender<u64>,
     /// Origins that other gateways announced and that the store may lack.
     unstored_origins: Mutex<UnstoredOrigins>,
     origin_searches: OriginSearches,
@@ -246,6 +249,8 @@
             origin_pages: Mutex::new(OriginPages::new(OriginConfig::default())),
             origin_change: Notify::new(),
             last_origin_read: LastRead::default(),
+            versions: Mutex::new(VersionHistory::new(OriginConfig::default().retention)),
+            stored_versions: watch::Sender::default(),
             unstored_origins: Mutex::default(),
             origin_searches: OriginSearches::default(),
             peer_socket,
@@ -262,6 +267,12 @@
         self.clock.now()
     }
 
+    /// Returns the time since the Unix epoch by this host's clock, which may jump.
+    pub(crate) fn unix_time(&self) -> Duration {
+        let wall_time = self.clock.wall_time();
+        wall_time.duration_since(UNIX_EPOCH).unwrap_or_default()
+    }
+
     /// Returns the current configuration.
     pub(crate) fn config(&self) -> Option<Arc<OperatorConfig>> {
         lock(&self.config).current().cloned()
@@ -363,6 +374,30 @@
         &self.last_origin_read
     }
 
+    /// Returns the software versions that were listed recently.
+    pub(crate) fn versions(&self) -> MutexGuard<'_, VersionHistory> {
+        lock(&self.versions)
+    }
+
+    /// Records the versions that the store holds as served by this gateway.
+    pub(crate) fn record_stored(&self, served: impl Iterator<Item = ServedVersion>) {
+        self.versions().record_stored(served);
+        self.stored_versions.send_modify(|count| *count += 1);
+    }
+
+    /// Records versions that the store holds as served by another gateway.
+    pub(crate) fn record_peer_stored(&self, served: impl Iterator<Item = ServedVersion>) {
+        let now = self.now();
+        if self.versions().record_peer_stored(served, now) {
+            self.stored_versions.send_modify(|count| *count += 1);
+        }
+    }
+
+    /// Returns a receiver that is changed when the store is found to hold further versions.
+    pub(crate) fn subscribe_stored_versions(&self) -> watch::Receiver<u64> {
+        self.stored_versions.subscribe()
+    }
+
     pub(crate) fn unstored_origins(&self) -> MutexGuard<'_, UnstoredOrigins> {
         lock(&self.unstored_origins)
     }
@@ -391,11 +426,6 @@
         &self.quarantine_signal
     }
 
-    /// Returns the time since this gateway started.
-    pub(crate) fn uptime(&self) -> Duration {
-        self.elapsed_since(self.started)
-    }
-
     /// Records that a service has an instance's software version, before the instance leaves or
     /// changes.
     pub(crate) fn record_software(&self, instance: &str) {
@@ -408,7 +438,7 @@
             })
         };
         if let Some((service, software)) = seen {
-            self.origins().record_version(service, software, self.now());
+            self.versions().record(service, software, self.now());
         }
     }
 
--- a/crates/cactusbarrow_gateway/src/store_sync.rs
+++ b/crates/cactusbarrow_gateway/src/store_sync.rs
@@ -9,7 +9,7 @@
     decode_backend_entry, decode_operator_config,
 };
 use cactusbarrow_net::Clock;
-use cactusbarrow_policy::{Backoff, StorePosition};
+use cactusbarrow_policy::{Backoff, ServiceId, StorePosition};
 use tokio_util::sync::CancellationToken;
 
 use crate::shared::Shared;
@@ -85,6 +85,7 @@
         }
         if !is_watcher {
             shared.store_health().record_watch_end();
+            shared.versions().record_gap();
         }
         let is_probe_due =
             !shared.store_health().is_ok() && now >= last_call_at + STORE_PROBE_INTERVAL;
@@ -127,10 +128,12 @@
     match result {
         WatchOutcome::HistoryExpired => {
             log::info!(position:% = after; "store dropped its history");
+            shared.versions().record_gap();
             shared.store_cache().reset_watch();
             Ok(false)
         }
         WatchOutcome::Restored { era } => {
+            shared.versions().record_gap();
             shared.store_cache().reset_watch_before(era);
             Ok(false)
         }
@@ -142,7 +145,9 @@
                 has_changes |= apply_change(shared, change, known);
             }
             shared.store_cache().advance(position, has_changes);
+            shared.versions().record_changes(shared.now());
             if has_changes {
+                origin_store::check_served(shared);
                 shared.load_change().notify();
             }
             Ok(has_events)
@@ -164,6 +169,41 @@
     Ok(())
 }
 
+/// Records the software versions of backend servers that were listed since the last response to the watch;
+/// returns `None` if the store does not tell them all.
+pub(crate) async fn record_new_versions<C: Clock>(shared: &Shared<C>) -> Option<()> {
+    let after = shared.store_cache().watch_after()?;
+    metrics::counter!("gateway_store_calls_total").increment(1);
+    match shared.store().watch(ALL_KEYS, after, Duration::ZERO).await {
+        Ok(WatchOutcome::Changes { changes, .. }) => {
+            for change in &changes {
+                if let Change::Put(item) = change {
+                    record_version(shared, item);
+                }
+            }
+            Some(())
+        }
+        Ok(_) => None,
+        Err(e) => {
+            log::info!(dependency = "store", step = e.step; "new versions not read: {e}");
+            None
+        }
+    }
+}
+
+/// Records the software version of a backend server's entry, which may have been replaced since.
+fn record_version<C: Clock>(shared: &Shared<C>, item: &KeyValue) {
+    let entry = item
+        .key
+        .strip_prefix(SERVERS_PREFIX)
+        .and_then(|instance| decode_backend_entry(instance, &item.value));
+    if let Some(entry) = entry {
+        let service = ServiceId::from_name(&entry.service);
+        let now = shared.now();
+        shared.versions().record(service, entry.software.id(), now);
+    }
+}
+
 /// Replaces all data by a snapshot of the store.
 fn apply_snapshot<C: Clock>(shared: &Shared<C>, snapshot: Snapshot) {
     let position = snapshot.position;
@@ -185,7 +225,9 @@
         }
     }
     shared.store_cache().advance(position, true);
+    shared.versions().record_list(shared.now());
     shared.record_backend_list_read();
+    origin_store::check_served(shared);
     shared.load_change().notify();
 }
 
@@ -247,7 +289,9 @@
         }
     }
     shared.store_cache().advance(data.position, true);
+    shared.versions().record_list(shared.now());
     shared.record_backend_list_read();
+    origin_store::check_served(shared);
 }
 
 /// Records a new era: entries that the store lacks may be written again.
@@ -328,7 +372,8 @@
                 remove_backend(shared, instance, renewal_end);
             }
         }
-        Change::Put(_) | Change::Deleted { .. } => {}
+        Change::Put(item) => record_version(shared, &item),
+        Change::Deleted { .. } => {}
     }
     true
 }
--- a/crates/cactusbarrow_gateway/src/stream_origins.rs
+++ b/crates/cactusbarrow_gateway/src/stream_origins.rs
@@ -2,11 +2,11 @@
 
 use cactusbarrow_net::Clock;
 use cactusbarrow_policy::{
-    AnnouncedOrigin, OriginConfig, ServiceId, ServiceName, SoftwareId, StreamId, StreamOrigin,
+    AnnouncedOrigin, ServedVersions, ServiceId, ServiceName, SoftwareId, StreamId, StreamOrigin,
 };
 
 use crate::shared::Shared;
-use crate::{origin_exchange, origin_store};
+use crate::{origin_exchange, origin_store, store_sync};
 
 /// Where the origin of a stream was found.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -73,17 +73,48 @@
     if let Some(software) = find_in_table() {
         return Some((software, OriginSource::Peer));
     }
-    let is_read = origin_store::read_pages(shared).await;
+    let served = origin_store::read_pages(shared).await;
     if let Some(software) = find_in_table() {
         return Some((software, OriginSource::Store));
     }
-    // Before that, a version that this gateway has never seen may have begun the stream.
-    if !is_read && shared.uptime() < OriginConfig::default().retention {
-        return None;
-    }
-    let listed = shared.fleet().software_versions(service);
-    let (service, now) = (ServiceId::from_name(service), shared.now());
-    let origins = shared.origins();
-    let software = origins.sole_version(service, listed.into_iter(), now)?;
+    let from_pages = served.and_then(|served| find_served_version(shared, &served, service));
+    let software = match from_pages {
+        Some(software) => software,
+        None => find_followed_version(shared, service).await?,
+    };
     Some((software, OriginSource::SoleVersion))
 }
+
+/// Returns the only software version that can have begun a stream, if the pages of all gateways show it.
+fn find_served_version<C: Clock>(
+    shared: &Shared<C>,
+    served: &ServedVersions,
+    service: &ServiceName,
+) -> Option<SoftwareId> {
+    let listed = shared.fleet().software_versions(service);
+    let service = ServiceId::from_name(service);
+    let versions = shared.versions();
+    let seen = versions.recent(shared.now());
+    let seen = seen.filter(|(of, _)| *of == service);
+    let seen = seen.map(|(_, software)| software);
+    served.sole_version(service, listed.into_iter().chain(seen))
+}
+
+/// Returns the only software version that can have begun a stream, if this gateway has followed the list of
+/// backend servers for as long as a stream can last.
+async fn find_followed_version<C: Clock>(
+    shared: &Shared<C>,
+    service: &ServiceName,
+) -> Option<SoftwareId> {
+    let sole_version = || {
+        let listed = shared.fleet().software_versions(service);
+        let service = ServiceId::from_name(service);
+        shared
+            .versions()
+            .sole_version(service, listed.into_iter(), shared.now())
+    };
+    sole_version()?;
+    // A version may have come and gone since the last response to the watch.
+    store_sync::record_new_versions(shared).await?;
+    sole_version()
+}
--- a/crates/cactusbarrow_gateway/tests/common/mod.rs
+++ b/crates/cactusbarrow_gateway/tests/common/mod.rs
@@ -67,6 +67,15 @@
     /// Starts the same, with one engine for each of the software versions.
     pub(crate) async fn start_with_software(software: &[&str], event_interval: Duration) -> Self {
         let store = StoreStandin::start().await.expect("start the store");
+        Self::start_with_store(store, software, event_interval).await
+    }
+
+    /// Starts the same, with an empty store.
+    pub(crate) async fn start_with_store(
+        store: StoreStandin,
+        software: &[&str],
+        event_interval: Duration,
+    ) -> Self {
         store.put("op/config", &config_json(7, &[KEY]));
         let mut cluster = Self {
             store,
--- a/crates/cactusbarrow_gateway/tests/fleet.rs
+++ b/crates/cactusbarrow_gateway/tests/fleet.rs
@@ -214,7 +214,7 @@
     // The prompt is in the next two heartbeats.
     tokio::time::sleep(Duration::from_millis(900)).await;
     call.abort();
-    let extra = [PROMPT_HEADER, ("last-event-id", "4")];
+    let extra = [PROMPT_HEADER, ("last-event-id", "4"), ("resumes", "before")];
     let response = second.call(&generation_head("after", &extra), "POST").await;
     assert_eq!(response.event_ids().first(), Some(&5));
     assert_eq!(
@@ -233,7 +233,7 @@
     assert_eq!(response.status(), 200);
     first.handle.stop().await;
     let second = cluster.one_gateway().await;
-    let extra = [PROMPT_HEADER, ("last-event-id", "4")];
+    let extra = [PROMPT_HEADER, ("last-event-id", "4"), ("resumes", "before")];
     let response = second.call(&generation_head("after", &extra), "POST").await;
     assert_eq!(response.event_ids().first(), Some(&5));
     assert_eq!(
--- a/crates/cactusbarrow_gateway/tests/generations.rs
+++ b/crates/cactusbarrow_gateway/tests/generations.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 
 use cactusbarrow_adapter_standins::{BackendStandin, Fault};
+use cactusbarrow_policy::OriginConfig;
+use common::offset_clock::OffsetClock;
 use common::{EVENTS, TestCluster, caller_head, eventually};
 
 /// Returns the event ids of a complete generation.
@@ -220,7 +222,10 @@
 #[tokio::test]
 async fn reconnecting_caller_gets_the_events_after_its_last_one() {
     let cluster = TestCluster::start(2).await;
-    let gateway = cluster.one_gateway().await;
+    let clock = OffsetClock::default();
+    let gateway = cluster.one_gateway_with_clock(clock.clone()).await;
+    // The caller names no origin, so the gateway has to know that there was no other version.
+    clock.advance(OriginConfig::default().retention);
     let mut req = caller_head("again", "/stream/1");
     req.extra = &[("last-event-id", "12")];
     let response = gateway.call(&req, "POST").await;
--- a/crates/cactusbarrow_gateway/tests/software_versions.rs
+++ b/crates/cactusbarrow_gateway/tests/software_versions.rs
@@ -5,17 +5,21 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use cactusbarrow_adapter_standins::{BackendStandin, Fault};
+use cactusbarrow_adapter_standins::{BackendStandin, Fault, StoreMode, StoreStandin};
+use common::offset_clock::OffsetClock;
 use common::streams::{
     MOSTLY_V2, STREAMS, assert_resumed_at_v1, begin_stream, begin_streams, resume_stream, writers,
 };
-use common::{EVENTS, Gateway, TestCluster, caller_head, eventually, free_ports};
+use common::{EVENTS, Gateway, KillableGateway, TestCluster, caller_head, eventually, free_ports};
 
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Time after which the origin of a stream outlives its gateway.
 const RECORDING_TIME: Duration = Duration::from_millis(1_000);
 
+/// Time for which a gateway has to follow the list before it knows which versions can have begun streams.
+const RETENTION: Duration = Duration::from_secs(60);
+
 /// Returns the engine that runs the only request.
 fn runner(cluster: &TestCluster) -> Option<&BackendStandin> {
     let mut engines = cluster.engines.iter();
@@ -152,10 +156,188 @@
     assert_eq!(cluster.run_count("again"), 0);
 }
 
+/// Guards against a take-up at the version that happens to be listed: only a list that was followed for
+/// as long as a stream can last shows that no other version can have begun it.
 #[tokio::test]
-async fn stream_of_unknown_origin_resumes_where_all_engines_have_one_software_version() {
+async fn stream_of_unknown_origin_resumes_only_where_no_other_version_can_have_begun_it() {
     let cluster = TestCluster::start_with_software(&["v1", "v1"], EVENT_INTERVAL).await;
-    let gateway = cluster.one_gateway().await;
+    let clock = OffsetClock::default();
+    let gateway = cluster.one_gateway_with_clock(clock.clone()).await;
+    let response = resume_stream(&gateway, "too-early", "never-seen", 7).await;
+    assert_eq!(response.status(), 503);
+    assert!(response.head.headers().contains_key("retry-after"));
+    assert_eq!(cluster.run_count("too-early"), 0);
+    clock.advance(RETENTION);
     let response = resume_stream(&gateway, "again", "never-seen", 7).await;
     assert_eq!(response.event_ids(), (8..=EVENTS).collect::<Vec<_>>());
 }
+
+/// Starts a store that states eras, and one that does not.
+async fn stores() -> [StoreStandin; 2] {
+    let with_eras = StoreStandin::start().await;
+    let without_eras = StoreStandin::start_without_eras().await;
+    [with_eras, without_eras].map(|store| store.expect("start the store"))
+}
+
+async fn killable_gateway(cluster: &TestCluster) -> KillableGateway {
+    let ip = "127.0.0.1";
+    KillableGateway::start(ip, free_ports(ip), ip, cluster.store.addr()).await
+}
+
+/// Checks that a gateway that starts now refuses the streams, since another version may have begun them.
+async fn assert_refused_by_next(cluster: &TestCluster, begun: &[(String, u64)]) {
+    let next = cluster.one_gateway().await;
+    for (id, last_event) in begun {
+        let again = format!("{id}-again");
+        let response = resume_stream(&next, &again, id, *last_event).await;
+        assert_eq!(response.status(), 503, "{}", response.text());
+        assert_eq!(cluster.run_count(&again), 0);
+    }
+}
+
+/// Load pattern: all gateways end, and the engines of the old version leave before the gateways are back.
+#[tokio::test]
+async fn stream_is_not_continued_by_the_version_that_replaced_its_own() {
+    for store in stores().await {
+        let cluster = TestCluster::start_with_store(store, &MOSTLY_V2, EVENT_INTERVAL).await;
+        let first = killable_gateway(&cluster).await;
+        tokio::time::sleep(RECORDING_TIME).await;
+        // The store takes no writes, so nobody learns where the streams began.
+        cluster.store.set_mode(StoreMode::Busy);
+        let begun = begin_streams(&cluster, &first.gateway).await;
+        first.kill();
+        cluster.store.set_mode(StoreMode::Serving);
+        cluster.store.delete("servers/engine-0");
+        cluster.store.delete("servers/engine-1");
+        assert_refused_by_next(&cluster, &begun).await;
+    }
+}
+
+/// Load pattern: another writer damages the pages that hold the origins.
+#[tokio::test]
+async fn stream_whose_page_is_damaged_is_not_continued_by_another_version() {
+    for store in stores().await {
+        let cluster = TestCluster::start_with_store(store, &MOSTLY_V2, EVENT_INTERVAL).await;
+        let first = killable_gateway(&cluster).await;
+        let begun = begin_streams(&cluster, &first.gateway).await;
+        tokio::time::sleep(RECORDING_TIME).await;
+        first.kill();
+        cluster.store.put("streams/127.0.0.1/0", "not a page");
+        cluster.store.delete("servers/engine-0");
+        cluster.store.delete("servers/engine-1");
+        assert_refused_by_next(&cluster, &begun).await;
+    }
+}
+
+/// Load pattern: a version serves for a short time, and all gateways end before they wrote an origin.
+#[tokio::test]
+async fn version_is_on_record_before_streams_begin_at_it() {
+    for store in stores().await {
+        let cluster = TestCluster::start_with_store(store, &["v1", "v2"], EVENT_INTERVAL).await;
+        cluster.store.delete("servers/engine-1");
+        let first = killable_gateway(&cluster).await;
+        cluster.put_entry(&cluster.engines[1], "llm", "zona-ct", "ready");
+        eventually("the new version is listed", || {
+            first.gateway.handle.status().backends == 4
+        })
+        .await;
+        let last_event = begin_stream(&cluster, &first.gateway, "begun", "v2").await;
+        cluster.store.set_mode(StoreMode::Busy);
+        first.kill();
+        cluster.store.set_mode(StoreMode::Serving);
+        cluster.store.delete("servers/engine-1");
+        assert_refused_by_next(&cluster, &[("other".to_owned(), last_event)]).await;
+    }
+}
+
+/// Load pattern: a gateway starts while the store takes no writes, and all its peers have ended.
+#[tokio::test]
+async fn no_stream_begins_at_a_version_that_is_not_on_record() {
+    let cluster = TestCluster::start_with_software(&["v1"], EVENT_INTERVAL).await;
+    cluster.store.set_mode(StoreMode::ReadOnly);
+    let gateway = cluster.one_gateway().await;
+    let response = gateway
+        .call(&caller_head("early", "/stream/1"), "POST")
+        .await;
+    assert_eq!(response.status(), 503);
+    assert!(response.head.headers().contains_key("retry-after"));
+    assert_eq!(cluster.run_count("early"), 0);
+    cluster.store.set_mode(StoreMode::Serving);
+    let mut attempts = 0;
+    loop {
+        attempts += 1;
+        let id = format!("later-{attempts}");
+        let response = gateway.call(&caller_head(&id, "/stream/1"), "POST").await;
+        if response.status() == 200 {
+            return;
+        }
+        assert!(attempts < 10, "{}", response.text());
+    }
+}
+
+/// Load pattern: a gateway starts that cannot write, beside one that can.
+#[tokio::test]
+async fn streams_begin_at_versions_that_a_peer_has_on_record() {
+    let cluster = TestCluster::start_with_software(&["v1"], EVENT_INTERVAL).await;
+    let base = free_ports("127.0.0.1");
+    let first = cluster.gateway("127.0.0.1", base, "127.0.0.2").await;
+    first.wait_until_ready().await;
+    tokio::time::sleep(RECORDING_TIME).await;
+    cluster.store.set_mode(StoreMode::ReadOnly);
+    let second = cluster.gateway("127.0.0.2", base, "127.0.0.1").await;
+    second.wait_until_ready().await;
+    let response = second
+        .call(&caller_head("begun", "/stream/1"), "POST")
+        .await;
+    assert_eq!(response.event_ids(), (1..=EVENTS).collect::<Vec<_>>());
+}
+
+/// Load pattern: all gateways end at once while the store takes no writes, and one version serves.
+#[tokio::test]
+async fn stream_of_unknown_origin_resumes_after_all_gateways_ended_where_one_version_served() {
+    let store = StoreStandin::start_without_eras().await;
+    let store = store.expect("start the store");
+    let cluster = TestCluster::start_with_store(store, &["v1", "v1"], EVENT_INTERVAL).await;
+    let first = killable_gateway(&cluster).await;
+    tokio::time::sleep(RECORDING_TIME).await;
+    cluster.store.set_mode(StoreMode::Busy);
+    let begun = begin_streams(&cluster, &first.gateway).await;
+    first.kill();
+    cluster.store.set_mode(StoreMode::Serving);
+    let next = cluster.one_gateway().await;
+    assert_resumed_at_v1(&next, &begun).await;
+}
+
+/// Load pattern: versions come and go while a gateway follows the list.
+#[tokio::test]
+async fn version_that_was_listed_for_a_moment_can_have_begun_a_stream() {
+    let cluster = TestCluster::start_with_software(&["v1", "v1", "v2"], EVENT_INTERVAL).await;
+    cluster.store.delete("servers/engine-2");
+    let clock = OffsetClock::default();
+    let gateway = cluster.one_gateway_with_clock(clock.clone()).await;
+    clock.advance(RETENTION);
+    cluster.put_entry(&cluster.engines[2], "llm", "zona-pa", "ready");
+    cluster.store.delete("servers/engine-2");
+    let response = resume_stream(&gateway, "again", "never-seen", 7).await;
+    assert_eq!(response.status(), 503);
+    assert_eq!(cluster.run_count("again"), 0);
+}
+
+/// A caller that names an attempt which itself continued a stream is refused or gets the same version.
+#[tokio::test]
+async fn stream_that_was_continued_stays_at_its_software_version() {
+    let cluster = TestCluster::start_with_software(&MOSTLY_V2, EVENT_INTERVAL).await;
+    let gateway = cluster.one_gateway().await;
+    let last_event = begin_stream(&cluster, &gateway, "begun", "v1").await;
+    let response = resume_stream(&gateway, "second", "begun", last_event).await;
+    assert_eq!(writers(&response), BTreeSet::from(["v1"]));
+    for i in 0..STREAMS {
+        let id = format!("third-{i}");
+        let response = resume_stream(&gateway, &id, "second", last_event + 1).await;
+        if response.status() == 200 {
+            assert_eq!(writers(&response), BTreeSet::from(["v1"]));
+        } else {
+            assert_eq!((response.status(), cluster.run_count(&id)), (503, 0));
+        }
+    }
+}
--- a/crates/cactusbarrow_policy/src/backend_fleet.rs
+++ b/crates/cactusbarrow_policy/src/backend_fleet.rs
@@ -1,6 +1,6 @@
 //! Registry of the backend servers that a gateway knows, with their health and load.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -15,9 +15,11 @@
 use crate::fleet_config::FleetConfig;
 use crate::heartbeat::HeartbeatStep;
 use crate::peer_table::PeerLoad;
+use crate::served_versions::ServedVersion;
 use crate::server_backoff::Backoffs;
 use crate::server_departure::Departures;
 use crate::software::SoftwareId;
+use crate::stream_origins::ServiceId;
 
 /// Number of peers that must avoid an engine before the copies it holds are considered
 /// unreliable; a single peer may itself be cut off.
@@ -107,6 +109,14 @@
         versions
     }
 
+    /// Returns the software versions of the listed backend servers of all services.
+    pub fn served_versions(&self) -> HashSet<ServedVersion> {
+        let backends = self.backends.values();
+        backends
+            .map(|b| (ServiceId::from_name(&b.entry.service), b.software))
+            .collect()
+    }
+
     /// Returns whether a service has a usable backend server with this software version.
     pub fn has_software(&self, service: &str, software: SoftwareId, now: Instant) -> bool {
         self.backends.values().any(|b| {
--- a/crates/cactusbarrow_policy/src/operator_config.rs
+++ b/crates/cactusbarrow_policy/src/operator_config.rs
@@ -27,6 +27,11 @@
 }
 
 impl RequestKind {
+    /// Returns whether a caller may resume a stream of this kind.
+    pub fn can_resume(self) -> bool {
+        self == Self::Generation { can_resume: true }
+    }
+
     /// Returns whether a request may run again after it may have run.
     pub fn is_repeatable(self) -> bool {
         !matches!(
--- a/crates/cactusbarrow_policy/src/origin_pages.rs
+++ b/crates/cactusbarrow_policy/src/origin_pages.rs
@@ -87,6 +87,14 @@
         number
     }
 
+    /// Has the current page written although no origin was added to it.
+    pub fn refresh(&mut self) {
+        let next_number = self.next_number;
+        self.pages[self.current]
+            .unwritten_from
+            .get_or_insert(next_number);
+    }
+
     /// Takes a page that the store does not have yet, with its slot.
     pub fn take_unwritten(&mut self) -> Option<(usize, Vec<StreamOrigin>)> {
         if !self.is_loaded {
--- a/crates/cactusbarrow_policy/src/outcome.rs
+++ b/crates/cactusbarrow_policy/src/outcome.rs
@@ -94,6 +94,8 @@
     SoftwareGone = "software_gone",
     /// The software version that began the stream is not known.
     UnknownOrigin = "unknown_origin",
+    /// The store does not show yet that the listed software versions are served.
+    UnstoredVersion = "unstored_version",
     /// The generation or a part of its prompt has ended several engines.
     QuarantinedPrompt = "quarantined_prompt",
     /// The same request has ended several backend servers.
--- a/crates/cactusbarrow_policy/src/placement.rs
+++ b/crates/cactusbarrow_policy/src/placement.rs
@@ -30,6 +30,8 @@
     pub cached_at: Option<u64>,
     /// Software version that began the stream; only engines that have it are candidates.
     pub software: Option<SoftwareId>,
+    /// Software versions whose engines are no candidates.
+    pub excluded_software: &'a [SoftwareId],
 }
 
 impl BackendFleet {
@@ -49,9 +51,11 @@
             excluded,
             cached_at,
             software,
+            excluded_software,
         } = *placement;
         let is_usable = |b: &Backend| {
             software.is_none_or(|software| b.software == software)
+                && !excluded_software.contains(&b.software)
                 && self.has_token(b, now)
                 && self.backoffs.has_backed_off(b.incarnation, now)
                 && b.fits(capacity, self.cfg.memory_share, work.memory_tokens)
--- a/crates/cactusbarrow_policy/src/stream_origins.rs
+++ b/crates/cactusbarrow_policy/src/stream_origins.rs
@@ -93,8 +93,6 @@
     /// Streams in the order in which they were recorded; a stream that was recorded again is in it
     /// again.
     order: VecDeque<(StreamId, Instant)>,
-    /// Versions of each service, with the time at which they were last seen.
-    versions: HashMap<(ServiceId, SoftwareId), Instant>,
 }
 
 impl StreamOrigins {
@@ -104,13 +102,11 @@
             cfg,
             entries: HashMap::new(),
             order: VecDeque::new(),
-            versions: HashMap::new(),
         }
     }
 
     /// Records the origin of a stream; when the table is full, the oldest one is dropped.
     pub fn record(&mut self, origin: StreamOrigin, now: Instant) {
-        self.record_version(origin.service, origin.software, now);
         let entry = Entry {
             service: origin.service,
             software: origin.software,
@@ -128,11 +124,6 @@
         }
     }
 
-    /// Records that a service has or had an engine of a software version.
-    pub fn record_version(&mut self, service: ServiceId, software: SoftwareId, now: Instant) {
-        self.versions.insert((service, software), now);
-    }
-
     /// Returns the software version that began a stream, if it is known.
     pub fn find(&self, stream: StreamId, now: Instant) -> Option<SoftwareId> {
         self.find_origin(stream, now).map(|origin| origin.software)
@@ -148,23 +139,6 @@
         })
     }
 
-    /// Returns the only software version that can have begun a stream of a service: the one that
-    /// all `listed` engines have, if no other was seen within the retention.
-    pub fn sole_version(
-        &self,
-        service: ServiceId,
-        listed: impl Iterator<Item = SoftwareId>,
-        now: Instant,
-    ) -> Option<SoftwareId> {
-        let seen = self
-            .versions
-            .iter()
-            .filter(|((of, _), seen_at)| *of == service && !self.is_expired(**seen_at, now));
-        let mut all = listed.chain(seen.map(|((_, software), _)| *software));
-        let first = all.next()?;
-        all.all(|software| software == first).then_some(first)
-    }
-
     fn is_expired(&self, recorded_at: Instant, now: Instant) -> bool {
         now.saturating_duration_since(recorded_at) >= self.cfg.retention
     }
--- a/crates/cactusbarrow_policy/tests/backend_fleet.rs
+++ b/crates/cactusbarrow_policy/tests/backend_fleet.rs
@@ -67,6 +67,7 @@
         excluded: &[],
         cached_at,
         software: None,
+        excluded_software: &[],
     };
     fleet.choose_engine(&placement, now, rng)
 }
@@ -615,6 +616,7 @@
         excluded: &[],
         cached_at: Some(stable_hash(b"i-5")),
         software: Some(software.id()),
+        excluded_software: &[],
     };
     for seed in 0..50 {
         let rng = &mut rng(seed);
--- a/crates/cactusbarrow_policy/tests/stream_origins.rs
+++ b/crates/cactusbarrow_policy/tests/stream_origins.rs
@@ -77,24 +77,6 @@
     }
 }
 
-#[test]
-fn sole_version_is_known_only_if_no_other_was_seen() {
-    let now = Instant::now();
-    let cfg = OriginConfig::default();
-    let mut origins = StreamOrigins::new(cfg);
-    let sole = |origins: &StreamOrigins, listed: &[SoftwareId], now| {
-        origins.sole_version(SERVICE, listed.iter().copied(), now)
-    };
-    assert_eq!(sole(&origins, &[], now), None);
-    assert_eq!(sole(&origins, &[V1, V1], now), Some(V1));
-    assert_eq!(sole(&origins, &[V1, V2], now), None);
-    origins.record_version(ServiceId(2), V1, now);
-    assert_eq!(sole(&origins, &[V2], now), Some(V2), "another service");
-    origins.record(origin(1, V1), now);
-    assert_eq!(sole(&origins, &[V2], now), None);
-    assert_eq!(sole(&origins, &[V2], now + cfg.retention), Some(V2));
-}
-
 #[test]
 fn nothing_is_written_before_the_pages_are_loaded() {
     let now = Instant::now();
--- a/examples/soak/callers.rs
+++ b/examples/soak/callers.rs
@@ -23,7 +23,7 @@
 /// Time that a caller waits for the response to a call.
 const CALL_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Time that a caller spends on one generation, all its attempts included.
-const GENERATION_TIMEOUT: Duration = Duration::from_secs(10);
+pub(crate) const GENERATION_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Longest pause in a stream before its caller resumes at another gateway.
 const STREAM_IDLE_TIMEOUT: Duration = Duration::from_secs(5);
--- a/examples/soak/faults.rs
+++ b/examples/soak/faults.rs
@@ -423,11 +423,34 @@
         } else {
             vec![self.draw_gateway()]
         };
+        self.kill_and_restart(gateways, &[], "").await
+    }
+
+    /// Kills all gateways, and replaces all of `engines` by ones of another software version while they are
+    /// away.
+    pub(crate) async fn replace_version(
+        mut self,
+        engines: &[usize],
+        software: &str,
+    ) -> anyhow::Result<String> {
+        let all = (0..self.environment.gateways.len()).collect();
+        self.kill_and_restart(all, engines, software).await
+    }
+
+    async fn kill_and_restart(
+        &mut self,
+        gateways: Vec<usize>,
+        replaced: &[usize],
+        software: &str,
+    ) -> anyhow::Result<String> {
         let begin = |gateway: &usize| self.ledger.begin_disruption(Scope::Gateway(*gateway));
         let ids: Vec<_> = gateways.iter().map(begin).collect();
         for gateway in &gateways {
             lock(&self.environment.gateways[*gateway]).signal(Signal::KILL);
         }
+        for engine in replaced {
+            self.environment.replace(*engine, software).await?;
+        }
         self.pause(50..1_500).await;
         for (gateway, id) in gateways.iter().zip(ids) {
             self.restart(*gateway).await?;
--- a/examples/soak/scenarios.rs
+++ b/examples/soak/scenarios.rs
@@ -12,8 +12,8 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::Plan;
-use crate::callers::{Caller, CallerContext};
-use crate::environment::{SERVICES, lock};
+use crate::callers::{Caller, CallerContext, GENERATION_TIMEOUT};
+use crate::environment::{SERVICES, SOFTWARE_VERSIONS, lock};
 use crate::faults::Injector;
 use crate::ledger::{LimitPeriod, Scope, Wait};
 
@@ -57,6 +57,9 @@
 /// Time for which a backend server rejects requests, in milliseconds.
 const REJECTION_MS: std::ops::Range<u64> = 500..4_000;
 
+/// Time for which a software version serves, in milliseconds.
+const VERSION_MS: std::ops::Range<u64> = 500..3_000;
+
 /// Number of steps of a series.
 const SERIES_STEPS: std::ops::Range<u32> = 3..9;
 
@@ -87,25 +90,29 @@
     Series,
     /// One whole request ends each server of the plain service that begins to run it.
     DeadlyRequests,
+    /// All engines get another software version while all gateways are away.
+    Versions,
 }
 
 /// All scenarios by the names that the command line uses.
-const NAMES: [(&str, Scenario); 6] = [
+const NAMES: [(&str, Scenario); 7] = [
     ("series", Scenario::Series),
     ("retry-after", Scenario::RetryAfter),
     ("leaving", Scenario::Leaving),
     ("limits", Scenario::RequestLimits),
     ("deadly-parts", Scenario::DeadlyParts),
     ("deadly-requests", Scenario::DeadlyRequests),
+    ("versions", Scenario::Versions),
 ];
 
 /// Scenarios that a seed draws unless the command line names others, by the seed modulo
 /// [`SEED_PERIOD`].
-const SCENARIOS_OF_SEEDS: [(u64, Scenario); 12] = [
+const SCENARIOS_OF_SEEDS: [(u64, Scenario); 13] = [
     (0, Scenario::Leaving),
     (2, Scenario::RequestLimits),
     (4, Scenario::DeadlyRequests),
     (5, Scenario::DeadlyParts),
+    (6, Scenario::Versions),
     (7, Scenario::Leaving),
     (8, Scenario::RequestLimits),
     (9, Scenario::RequestLimits),
@@ -171,6 +178,7 @@
                 Scenario::RetryAfter => self.reject_for_a_time().await,
                 Scenario::Series => self.inject_series().await?,
                 Scenario::DeadlyRequests => self.send_deadly_requests().await?,
+                Scenario::Versions => self.replace_versions().await?,
             };
             self.log.push(format!("{at:.2} s: {description}"));
         }
@@ -343,6 +351,28 @@
         Ok(format!("series: {}", descriptions.join("; ")))
     }
 
+    /// Replaces the software version of all engines twice, and waits until no caller resumes a stream of an
+    /// earlier one.
+    async fn replace_versions(&mut self) -> anyhow::Result<String> {
+        let engines = self.cx.environment.backends_of_service(SERVICES[0]);
+        let id = self.cx.ledger.begin_disruption(Scope::Backends);
+        let first = self.rng.random_range(0..SOFTWARE_VERSIONS.len());
+        for step in 0..2 {
+            let (environment, ledger) = (self.cx.environment.clone(), self.cx.ledger.clone());
+            let index = self.rng.random_range(SERIES_INDICES);
+            let injector = Injector::for_series(environment, ledger, &self.plan, index);
+            let software = SOFTWARE_VERSIONS[(first + step) % SOFTWARE_VERSIONS.len()];
+            injector.replace_version(&engines, software).await?;
+            let served = self.rng.random_range(VERSION_MS);
+            tokio::time::sleep(Duration::from_millis(served)).await;
+        }
+        tokio::time::sleep(GENERATION_TIMEOUT).await;
+        self.cx.ledger.end_disruption(id);
+        Ok(format!(
+            "engines {engines:?} got other versions while all gateways were away"
+        ))
+    }
+
     /// Replaces backend servers that ended under a run, each after some time, and returns their
     /// number; at `until`, replaces the rest at once.
     async fn restart_ended_until(&mut self, until: Instant) -> anyhow::Result<usize> {
