--- a/crates/cactusbarrow_gateway/src/origin_store.rs
+++ b/crates/cactusbarrow_gateway/src/origin_store.rs
@@ -54,7 +54,8 @@
     let result = shared.store().read_all(PAGES_PREFIX, known_era).await;
     let served = match &result {
         Ok(snapshot) => {
-            let pages: Vec<_> = snapshot.items.iter().map(decode_page).collect();
+            let items = snapshot.items.iter().filter(|item| is_page_key(&item.key));
+            let pages: Vec<_> = items.map(decode_page).collect();
             for page in pages.iter().flatten() {
                 record_origins(shared, page);
             }
@@ -95,12 +96,24 @@
     if !item.key.starts_with(PAGES_PREFIX) {
         return false;
     }
-    if let Some(page) = decode_page(item) {
+    if is_page_key(&item.key)
+        && let Some(page) = decode_page(item)
+    {
         record_origins(shared, &page);
     }
     true
 }
 
+/// Returns whether a gateway may have a page under a key.
+fn is_page_key(key: &str) -> bool {
+    let page = key.strip_prefix(PAGES_PREFIX);
+    page.and_then(|page| page.split_once('/'))
+        .is_some_and(|(ip, slot)| {
+            let slots = OriginConfig::default().page_count();
+            ip.parse::<IpAddr>().is_ok() && slot.parse::<usize>().is_ok_and(|slot| slot < slots)
+        })
+}
+
 fn record_origins<C: Clock>(shared: &Shared<C>, page: &StreamOriginPage) {
     let now = shared.now();
     let mut table = shared.origins();
--- a/examples/soak/environment.rs
+++ b/examples/soak/environment.rs
@@ -232,6 +232,23 @@
         self.write(&key, Some(entry));
     }
 
+    /// Writes a value as another writer may do; it does not belong to any backend server.
+    pub(crate) fn write_odd(&self, key: &str, value: &str) {
+        self.store.put(key, value);
+    }
+
+    /// Writes a value over the entry of a backend server, which writes its own again after a time.
+    pub(crate) async fn overwrite_entry(&self, index: usize, value: &str, time: Duration) {
+        let instance = lock(&self.backends[index]).standin.instance().to_owned();
+        self.store.put(&format!("servers/{instance}"), value);
+        tokio::time::sleep(time).await;
+        let backend = lock(&self.backends[index]);
+        if *backend.standin.instance() == *instance {
+            let is_draining = backend.drained_at.is_some();
+            self.write_entry(&backend, if is_draining { "draining" } else { "ready" });
+        }
+    }
+
     fn write(&self, key: &str, value: Option<String>) {
         let mut last_writes = lock(&self.last_writes);
         let at = Instant::now();
--- a/examples/soak/scenarios.rs
+++ b/examples/soak/scenarios.rs
@@ -60,6 +60,29 @@
 /// Time for which a software version serves, in milliseconds.
 const VERSION_MS: std::ops::Range<u64> = 500..3_000;
 
+/// Time for which an odd value replaces the entry of a backend server, in milliseconds.
+const ODD_MS: std::ops::Range<u64> = 200..1_500;
+
+/// Keys of odd entries.
+const ODD_KEYS: [&str; 6] = [
+    "servers/odd-0",
+    "servers/odd entry\u{1}",
+    "servers/",
+    "streams/odd",
+    "quarantine/odd",
+    "odd",
+];
+
+/// Values of odd entries.
+const ODD_VALUES: [&str; 6] = [
+    "",
+    "[[[[",
+    "{\"service\":\"llm\",\"address\":\"127.0.0.1:0\",\"zone\":\"z\",\"slots\":96,\"state\":\"ready\"}",
+    "{\"service\":\"llm\",\"address\":\"127.0.0.1:9\",\"zone\":\"z\",\"slots\":1e999,\"state\":\"ready\"}",
+    "{\"service\":\"llm\",\"address\":\"127.0.0.1:9\",\"zone\":\"z\",\"slots\":0,\"state\":\"odd\",\"born\":-5}",
+    "\u{8}\u{ff}\u{0}",
+];
+
 /// Number of steps of a series.
 const SERIES_STEPS: std::ops::Range<u32> = 3..9;
 
@@ -92,10 +115,12 @@
     DeadlyRequests,
     /// All engines get another software version while all gateways are away.
     Versions,
+    /// Another writer stores odd entries beside those of backend servers, and over some of them.
+    OddEntries,
 }
 
 /// All scenarios by the names that the command line uses.
-const NAMES: [(&str, Scenario); 7] = [
+const NAMES: [(&str, Scenario); 8] = [
     ("series", Scenario::Series),
     ("retry-after", Scenario::RetryAfter),
     ("leaving", Scenario::Leaving),
@@ -103,11 +128,12 @@
     ("deadly-parts", Scenario::DeadlyParts),
     ("deadly-requests", Scenario::DeadlyRequests),
     ("versions", Scenario::Versions),
+    ("odd-entries", Scenario::OddEntries),
 ];
 
 /// Scenarios that a seed draws unless the command line names others, by the seed modulo
 /// [`SEED_PERIOD`].
-const SCENARIOS_OF_SEEDS: [(u64, Scenario); 13] = [
+const SCENARIOS_OF_SEEDS: [(u64, Scenario); 14] = [
     (0, Scenario::Leaving),
     (2, Scenario::RequestLimits),
     (4, Scenario::DeadlyRequests),
@@ -116,6 +142,7 @@
     (7, Scenario::Leaving),
     (8, Scenario::RequestLimits),
     (9, Scenario::RequestLimits),
+    (10, Scenario::OddEntries),
     (11, Scenario::DeadlyParts),
     (12, Scenario::Series),
     (13, Scenario::RetryAfter),
@@ -179,6 +206,7 @@
                 Scenario::Series => self.inject_series().await?,
                 Scenario::DeadlyRequests => self.send_deadly_requests().await?,
                 Scenario::Versions => self.replace_versions().await?,
+                Scenario::OddEntries => self.write_odd_entries().await,
             };
             self.log.push(format!("{at:.2} s: {description}"));
         }
@@ -351,6 +379,25 @@
         Ok(format!("series: {}", descriptions.join("; ")))
     }
 
+    /// Writes odd entries that stay, and then one over the entry of a sound backend server.
+    async fn write_odd_entries(&mut self) -> String {
+        let environment = self.cx.environment.clone();
+        let mut draw_value = || ODD_VALUES[self.rng.random_range(0..ODD_VALUES.len())];
+        for key in ODD_KEYS {
+            environment.write_odd(key, draw_value());
+        }
+        let value = draw_value();
+        let backend = self.draw_backend();
+        let time = Duration::from_millis(self.rng.random_range(ODD_MS));
+        let id = self.cx.ledger.begin_disruption(Scope::Backends);
+        environment.overwrite_entry(backend, value, time).await;
+        self.cx.ledger.end_disruption(id);
+        tokio::time::sleep(time).await;
+        format!(
+            "odd entries, and {value:?} over the entry of backend server {backend} for {time:?}"
+        )
+    }
+
     /// Replaces the software version of all engines twice, and waits until no caller resumes a stream of an
     /// earlier one.
     async fn replace_versions(&mut self) -> anyhow::Result<String> {
