Believe a refusal only if it names the request that was sent

Cause: whether a response states that the request was not run was asked before whether it belongs to the request. A 421 counted as the server's replacement with any id. Agents kept connections to backend servers whose responses name no request.

Change: nothing is believed of a response that does not echo the request's id; the request may have run. Requests without an id reject a response that names one. Agents open a connection for each request to their backend server.

--- a/crates/cactusbarrow_agent/src/agent.rs
+++ b/crates/cactusbarrow_agent/src/agent.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
-use cactusbarrow_net::{Clock, HttpClient, HttpVersion};
+use cactusbarrow_net::{Clock, HttpClient};
 use cactusbarrow_policy::{
     AdmissionConfig, AdmissionController, BackendHealth, DrainCause, EngineOrders, HealthConfig,
     OrderConfig, Permit, Reason, Revision, Work,
@@ -46,7 +46,8 @@
             responses: ResponseCache::new(cfg.response_cache_bytes, cfg.response_retention),
             generations: GenerationTable::default(),
             engine_orders: Mutex::new(EngineOrders::new(OrderConfig::default())),
-            http: HttpClient::new(HttpVersion::Http1),
+            // Backend servers do not name the request in their responses.
+            http: HttpClient::with_connection_per_request(),
             drain_started_at: watch::Sender::new(None),
             health: Mutex::new(BackendHealth::new(HealthConfig::default())),
             host_list_index: AtomicU64::new(0),
--- a/crates/cactusbarrow_gateway/src/backend_connection.rs
+++ b/crates/cactusbarrow_gateway/src/backend_connection.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use cactusbarrow_adapter::{EngineResponse, REQUEST_ID};
 use cactusbarrow_net::{Body, NetError};
 use cactusbarrow_policy::LossCause;
 use http::{Request, response};
@@ -50,6 +51,17 @@
     }
 }
 
+/// Logs a response that does not belong to the request that was sent.
+pub(crate) fn log_foreign_response(request_id: &str, head: &EngineResponse) {
+    metrics::counter!("gateway_foreign_responses_total").increment(1);
+    log::warn!(
+        request_id = request_id,
+        status = head.status.as_u16(),
+        names_request = head.headers.contains_key(REQUEST_ID);
+        "response belongs to another request"
+    );
+}
+
 impl BackendConnection {
     /// Connects to a backend server within `timeout`.
     pub(crate) async fn open(peer: SocketAddr, timeout: Duration) -> Result<Self, NetError> {
@@ -97,8 +109,15 @@
         step: &'static str,
         req: Request<Body>,
     ) -> Result<StreamingResponse, NetError> {
+        let has_id = req.headers().contains_key(REQUEST_ID);
         let result = self.sender.send_request(req).await;
         let res = result.map_err(|e| NetError::new(step, self.peer, e))?;
+        // Nothing in a response that names a request may be believed where none was named.
+        if !has_id && res.headers().contains_key(REQUEST_ID) {
+            metrics::counter!("gateway_foreign_responses_total").increment(1);
+            let message = "response belongs to another request";
+            return Err(NetError::new(step, self.peer, message));
+        }
         let (head, body) = res.into_parts();
         Ok(StreamingResponse {
             head,
--- a/crates/cactusbarrow_gateway/src/call.rs
+++ b/crates/cactusbarrow_gateway/src/call.rs
@@ -10,9 +10,9 @@
     BackendEntry, BackendKey, CallAction, CallEvent, CallPlan, LossCause, Outcome, Reason,
     RequestParts,
 };
-use http::{Response, StatusCode};
+use http::Response;
 
-use crate::backend_connection::{BackendConnection, loss_cause};
+use crate::backend_connection::{BackendConnection, log_foreign_response, loss_cause};
 use crate::quarantine::{self, BrokenAttempt};
 use crate::refusal::Refusal;
 use crate::request::{AdmittedRequest, count_refusal, shutdown_retry_after};
@@ -244,10 +244,13 @@
     head: EngineResponse,
     body: Option<Bytes>,
 ) -> (CallEvent, Option<CallResponse>) {
-    if head.status == StatusCode::MISDIRECTED_REQUEST {
+    if !head.is_matching {
+        log_foreign_response(&req.caller.request_id, &head);
+        return (CallEvent::Broken, None);
+    }
+    if head.is_misdirected {
         req.shared
             .record_loss(key, LossCause::Replaced, "send call");
-        return (CallEvent::NotExecuted, None);
     }
     if head.is_not_executed {
         return (CallEvent::NotExecuted, None);
@@ -255,7 +258,7 @@
     let Some(body) = body else {
         return (CallEvent::Broken, None);
     };
-    if !head.is_matching || head.is_encoded || (head.status.is_success() && !head.is_signed) {
+    if head.is_encoded || (head.status.is_success() && !head.is_signed) {
         return (CallEvent::Broken, None);
     }
     req.shared.record_alive(key);
--- a/crates/cactusbarrow_gateway/src/generation/attempt.rs
+++ b/crates/cactusbarrow_gateway/src/generation/attempt.rs
@@ -11,14 +11,15 @@
     BackendEntry, BackendKey, BackendWork, LossCause, PromptLocation, ResumeEvent, SoftwareId,
     stable_hash,
 };
-use http::StatusCode;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio_util::task::AbortOnDropHandle;
 
 use super::copy_manager::{CopyManager, Holder};
 use super::loss_watch::LossWatch;
-use crate::backend_connection::{BackendConnection, StreamingResponse, loss_cause};
+use crate::backend_connection::{
+    BackendConnection, StreamingResponse, log_foreign_response, loss_cause,
+};
 use crate::request::AdmittedRequest;
 use crate::shared::Shared;
 
@@ -236,7 +237,7 @@
         if head.is_from_instance() {
             shared.record_request_limit(target.key, head.request_limit, sent_at);
         }
-        if head.status != StatusCode::MISDIRECTED_REQUEST {
+        if head.is_from_instance() {
             shared.record_alive(target.key);
         }
         if head.status.is_success() && head.is_matching && head.is_signed && !head.is_encoded {
@@ -387,15 +388,18 @@
     head: EngineResponse,
     body: Incoming,
 ) -> OpenResult<C> {
-    if head.status == StatusCode::MISDIRECTED_REQUEST {
+    if !head.is_matching {
+        log_foreign_response(&req.caller.request_id, &head);
+        return OpenResult::Failed(ResumeEvent::Broken);
+    }
+    if head.is_misdirected {
         req.shared
             .record_loss(key, LossCause::Replaced, "send generation");
-        return OpenResult::Failed(ResumeEvent::NotExecuted);
     }
     if head.is_not_executed {
         return OpenResult::Failed(ResumeEvent::NotExecuted);
     }
-    if !head.is_matching || head.status.is_success() {
+    if head.status.is_success() {
         return OpenResult::Failed(ResumeEvent::Broken);
     }
     let is_failure = head.status.is_server_error();
--- a/crates/cactusbarrow_net/src/http_client.rs
+++ b/crates/cactusbarrow_net/src/http_client.rs
@@ -34,6 +34,17 @@
 impl HttpClient {
     /// Creates a client; it connects to a peer on the first request to it.
     pub fn new(version: HttpVersion) -> Self {
+        Self::with_kept_connections(version, usize::MAX)
+    }
+
+    /// Creates a client of HTTP/1.1 that opens a connection for each request, so that bytes which belong to an earlier
+    /// request cannot be taken for its response.
+    pub fn with_connection_per_request() -> Self {
+        Self::with_kept_connections(HttpVersion::Http1, 0)
+    }
+
+    /// Creates a client that keeps at most this number of idle connections to each peer.
+    fn with_kept_connections(version: HttpVersion, kept: usize) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
@@ -41,6 +52,7 @@
         builder
             .timer(TokioTimer::new())
             .pool_timer(TokioTimer::new())
+            .pool_max_idle_per_host(kept)
             // An automatic retry by the connection pool could execute a call twice.
             .retry_canceled_requests(false);
         if version == HttpVersion::Http2 {
