End a search for an origin with its caller, and write the current page again after a restore

Cause: a caller that left during a search for the origin of its stream left an entry behind, and a page that names versions but no origins was written again only after a minute when the store had returned to a copy without it. Change: the search ends when it is dropped; the current page is among those that are written again. Measured: page_without_origins_is_written_again_after_a_restore failed without the change and passes; the search has no test of its own.

--- a/crates/cactusbarrow_gateway/src/origin_exchange.rs
+++ b/crates/cactusbarrow_gateway/src/origin_exchange.rs
@@ -31,13 +31,17 @@
 pub(crate) struct OriginSearches(Mutex<HashMap<StreamId, watch::Sender<Vec<Ipv4Addr>>>>);
 
 impl OriginSearches {
-    /// Begins a search, or joins one for the same stream; returns the gateways to ask.
-    fn begin(&self, stream: StreamId, asked: &[Ipv4Addr]) -> watch::Receiver<Vec<Ipv4Addr>> {
+    /// Begins a search, or joins one for the same stream.
+    fn begin(&self, stream: StreamId, asked: &[Ipv4Addr]) -> OriginSearch<'_> {
         let mut searches = lock(&self.0);
         let search = searches
             .entry(stream)
             .or_insert_with(|| watch::Sender::new(asked.to_vec()));
-        search.subscribe()
+        OriginSearch {
+            unanswered: search.subscribe(),
+            stream,
+            searches: self,
+        }
     }
 
     fn record_unknown(&self, stream: StreamId, from: Ipv4Addr) {
@@ -54,6 +58,20 @@
     }
 }
 
+/// A search for the origin of one stream; it ends when it is dropped, as when its caller has left.
+struct OriginSearch<'a> {
+    /// Gateways that have not answered yet.
+    unanswered: watch::Receiver<Vec<Ipv4Addr>>,
+    stream: StreamId,
+    searches: &'a OriginSearches,
+}
+
+impl Drop for OriginSearch<'_> {
+    fn drop(&mut self) {
+        self.searches.end(self.stream);
+    }
+}
+
 /// Returns whether a datagram is one of this module's, not a heartbeat.
 pub(crate) fn is_origin_message(buf: &[u8]) -> bool {
     buf.first() == Some(&PREFIX)
@@ -87,20 +105,18 @@
         asked: Some(stream.0),
         ..message(shared)
     };
-    let searches = shared.origin_searches();
-    let mut unanswered = searches.begin(stream, &holders);
+    let mut search = shared.origin_searches().begin(stream, &holders);
     let ask = async {
         send(shared, &message, &holders);
-        let answered = unanswered.wait_for(Vec::is_empty);
+        let answered = search.unanswered.wait_for(Vec::is_empty);
         if tokio::time::timeout(REPEAT_AFTER, answered).await.is_err() {
-            let silent = unanswered.borrow().clone();
+            let silent = search.unanswered.borrow().clone();
             send(shared, &message, &silent);
             // An error means that another search for the stream has ended this one.
-            let _ = unanswered.wait_for(Vec::is_empty).await;
+            let _ = search.unanswered.wait_for(Vec::is_empty).await;
         }
     };
     let _ = tokio::time::timeout(ANSWER_TIMEOUT, ask).await;
-    searches.end(stream);
 }
 
 /// Handles a datagram from another gateway.
--- a/crates/cactusbarrow_policy/src/origin_pages.rs
+++ b/crates/cactusbarrow_policy/src/origin_pages.rs
@@ -129,6 +129,8 @@
         for page in &mut self.pages {
             page.unwritten_from = (!page.origins.is_empty()).then_some(page.first);
         }
+        // The current page also names versions, with or without origins.
+        self.refresh();
     }
 
     /// Returns the number of the first origin that the store may lack.
--- a/crates/cactusbarrow_policy/tests/stream_origins.rs
+++ b/crates/cactusbarrow_policy/tests/stream_origins.rs
@@ -104,6 +104,17 @@
     assert!(ring.has(1));
 }
 
+#[test]
+fn page_without_origins_is_written_again_after_a_restore() {
+    let now = Instant::now();
+    let mut ring = Ring::start(Vec::new(), now);
+    ring.pages.refresh();
+    assert!(ring.pages.take_unwritten().is_some());
+    assert!(ring.pages.take_unwritten().is_none());
+    ring.pages.rewrite();
+    assert!(ring.pages.take_unwritten().is_some());
+}
+
 #[test]
 fn write_interval_keeps_within_a_share_of_the_stores_writes() {
     assert_eq!(origin_write_interval(3, 400.0), Duration::from_millis(50));
