--- a/crates/cactusbarrow_gateway/src/origin_store.rs
+++ b/crates/cactusbarrow_gateway/src/origin_store.rs
@@ -10,7 +10,7 @@
 use cactusbarrow_net::Clock;
 use cactusbarrow_policy::{
     Backoff, OriginConfig, ServedPage, ServedVersion, ServedVersions, ServiceId, SoftwareId,
-    StoreEra, StreamId, StreamOrigin, origin_write_interval,
+    StoreEra, StorePosition, StreamId, StreamOrigin, origin_write_interval,
 };
 use cactusbarrow_protocol::generated::{
     ServedVersion as WireVersion, StreamOriginGroup, StreamOriginPage,
@@ -194,8 +194,10 @@
     // Page whose write may have failed, and when it is written once more.
     let mut uncertain: Option<(usize, Instant)> = None;
     loop {
-        let unwritten = shared.origin_pages().take_unwritten();
-        let Some((slot, origins)) = unwritten else {
+        // Before the list has been read, the era and the versions of a page would be wrong.
+        let has_list = shared.servers_position() != StorePosition::default();
+        let unwritten = has_list.then(|| shared.origin_pages().take_unwritten());
+        let Some((slot, origins)) = unwritten.flatten() else {
             tokio::select! {
                 () = shared.origin_change().notified() => {}
                 () = tokio::time::sleep(ServedVersions::REFRESH_INTERVAL) => {
--- a/crates/cactusbarrow_gateway/tests/unwritten_origins.rs
+++ b/crates/cactusbarrow_gateway/tests/unwritten_origins.rs
@@ -5,14 +5,20 @@
 use std::time::Duration;
 
 use cactusbarrow_adapter_standins::StoreMode;
+use cactusbarrow_protocol::generated::{StreamOriginMessage, StreamOriginPage, StreamOriginRecord};
 use common::cut_proxy::CutProxy;
 use common::streams::{MOSTLY_V2, assert_resumed_at_v1, begin_streams, resume_stream};
 use common::{EVENTS, KillableGateway, TestCluster, eventually, free_ports};
+use prost::Message;
+use tokio::net::UdpSocket;
 
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
 
 const IPS: [&str; 3] = ["127.0.0.1", "127.0.0.2", "127.0.0.3"];
 
+/// Port for messages of other gateways, after the first one of a gateway.
+const PEERS_PORT_OFFSET: u16 = 2;
+
 /// Time after which gateways know one another.
 const MEETING_TIME: Duration = Duration::from_millis(1_000);
 
@@ -110,6 +116,35 @@
     assert_resumed_at_v1(&next.gateway, &begun).await;
 }
 
+/// Load pattern: a gateway that has just started, and has not read the list, holds the origins of one that ends.
+#[tokio::test]
+async fn gateway_without_the_list_writes_no_page() {
+    let cluster = TestCluster::start_with_software(&["v1"], EVENT_INTERVAL).await;
+    let base = free_ports("127.0.0.1");
+    cluster.store.set_mode(StoreMode::Busy);
+    let ip = "127.0.0.1";
+    let gateway = cluster.gateway(ip, base, ip).await;
+    let origin = StreamOriginMessage {
+        incarnation: 7,
+        announced: Some(StreamOriginRecord::default()),
+        ..StreamOriginMessage::default()
+    };
+    let datagram = [vec![0], origin.encode_to_vec()].concat();
+    let peer = UdpSocket::bind(("127.0.0.2", 0)).await.expect("bind");
+    let peers = (ip, base + PEERS_PORT_OFFSET);
+    peer.send_to(&datagram, peers).await.expect("send");
+    tokio::time::sleep(ADOPTION_TIME).await;
+    cluster.store.set_mode(StoreMode::Serving);
+    gateway.wait_until_ready().await;
+    tokio::time::sleep(MEETING_TIME).await;
+    let pages = cluster.store.values("streams/");
+    assert!(!pages.is_empty(), "the gateway writes its page");
+    for page in pages {
+        let page = StreamOriginPage::decode(&*page).expect("a page");
+        assert!(page.store_era > 0 && !page.served.is_empty(), "{page:?}");
+    }
+}
+
 /// Load pattern: the store returns to an older copy after the end of the gateway.
 #[tokio::test]
 async fn streams_of_an_ended_gateway_resume_after_a_restore_of_the_store() {
