--- a/crates/cactusbarrow_gateway/tests/software_versions.rs
+++ b/crates/cactusbarrow_gateway/tests/software_versions.rs
@@ -156,7 +156,7 @@
     assert_eq!(cluster.run_count("again"), 0);
 }
 
-/// Guards against a take-up at the version that happens to be listed: only a list that was followed for
+/// Guards against a resume at the version that happens to be listed: only a list that was followed for
 /// as long as a stream can last shows that no other version can have begun it.
 #[tokio::test]
 async fn stream_of_unknown_origin_resumes_only_where_no_other_version_can_have_begun_it() {
