Stop gateways at any time in the soak, behind a load balancer and with requests of all shapes

The soak had graceful stops, but all its generations lasted 0.9 s, its callers sent whole bodies and read at once, and a request that was cut late in the grace period was excused whether or not an engine still worked on it.

The scenario `stops` sends SIGTERM to some gateways or all within 3 s, at times right after their start, beside SIGHUP, configurations, pauses of sound engines, slower engines and an unavailable or restored store. Callers connect through a load balancer with health checks, keep connections or open them early, send in chunks and read slowly; generations last 0.6 to 7 s.

--- a/examples/soak/callers.rs
+++ b/examples/soak/callers.rs
@@ -14,8 +14,10 @@
 use rand::{RngExt, SeedableRng};
 use tokio_util::sync::CancellationToken;
 
+use crate::balancer::Balancer;
+use crate::client::{Client, SentWhole, draw_body};
 use crate::environment::{
-    EVENTS_PER_GENERATION, Environment, PERMANENT_KEY, SERVICES, lock, version_key,
+    ENGINE_PACE, EVENTS_PER_GENERATION, Environment, PERMANENT_KEY, SERVICES, lock, version_key,
 };
 use crate::ledger::{Attempt, Ledger, Scope};
 use crate::process::gateway_ip;
@@ -25,6 +27,9 @@
 /// Time that a caller spends on one generation, all its attempts included.
 pub(crate) const GENERATION_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Time that a caller behind the load balancer spends on one generation: the engines may be slow.
+pub(crate) const LONG_GENERATION_TIMEOUT: Duration = Duration::from_secs(20);
+
 /// Longest pause in a stream before its caller resumes at another gateway.
 const STREAM_IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -58,6 +63,34 @@
 /// Part that all prompts have in common.
 const COMMON_PART: &str = "c0ffee:200";
 
+/// Prompt tokens and output tokens of a generation.
+#[derive(Clone, Copy, Debug)]
+struct GenerationTokens {
+    prompt: u64,
+    output: u64,
+}
+
+/// Sizes of generations at engines that run them by [`ENGINE_PACE`]: 0.6, 3 and 7 s, the first one most often.
+const GENERATION_SIZES: [GenerationTokens; 6] = [
+    GenerationTokens::new(500, 128),
+    GenerationTokens::new(500, 128),
+    GenerationTokens::new(500, 128),
+    GenerationTokens::new(500, 128),
+    GenerationTokens::new(5_000, 560),
+    GenerationTokens::new(5_000, 1_600),
+];
+
+impl GenerationTokens {
+    const fn new(prompt: u64, output: u64) -> Self {
+        Self { prompt, output }
+    }
+
+    /// Returns the value of the header that names the tokens.
+    fn header(self) -> String {
+        format!("{},{}", self.prompt, self.output)
+    }
+}
+
 /// State that all callers of a run share.
 pub(crate) struct CallerContext {
     pub(crate) environment: Arc<Environment>,
@@ -90,6 +123,8 @@
 pub(crate) struct Caller {
     shared: Arc<CallerContext>,
     http: HttpClient,
+    /// Client of the load balancer, if the caller connects through it.
+    client: Option<Client>,
     rng: StdRng,
 }
 
@@ -108,14 +143,29 @@
         Self {
             shared,
             http: HttpClient::new(HttpVersion::Http1),
+            client: None,
             rng: StdRng::seed_from_u64(seed),
         }
     }
 
+    /// Creates a caller behind a load balancer.
+    pub(crate) fn behind(shared: Arc<CallerContext>, seed: u64, balancer: Arc<Balancer>) -> Self {
+        let client = Client::new(balancer, shared.environment.base_port);
+        Self {
+            client: Some(client),
+            ..Self::new(shared, seed)
+        }
+    }
+
     /// Sends one request after the other until `stop` is cancelled.
     pub(crate) async fn run(mut self, stop: CancellationToken) {
         while !stop.is_cancelled() {
             match self.rng.random_range(0..100) {
+                kind if self.client.is_some() => match kind {
+                    0..15 => self.call("read").await,
+                    15..30 => self.call("write").await,
+                    _ => self.run_generation().await,
+                },
                 0..40 => self.call("read").await,
                 40..65 => self.call("write").await,
                 65..82 => self.run_generation().await,
@@ -127,13 +177,18 @@
         }
     }
 
-    fn draw_gateway(&mut self) -> usize {
-        self.rng
-            .random_range(0..self.shared.environment.gateways.len())
+    async fn draw_gateway(&mut self) -> usize {
+        match &mut self.client {
+            Some(client) => client.choose_gateway(&mut self.rng).await,
+            None => {
+                let count = self.shared.environment.gateways.len();
+                self.rng.random_range(0..count)
+            }
+        }
     }
 
     async fn send(
-        &self,
+        &mut self,
         gateway: usize,
         head: &CallerHead<'_>,
         method: &str,
@@ -144,8 +199,11 @@
             gateway_ip(gateway),
             self.shared.environment.base_port
         );
+        let sent_whole = SentWhole::default();
         let body = if method == "GET" {
             Body::Empty
+        } else if self.client.is_some() {
+            draw_body(body, &sent_whole, &mut self.rng)
         } else {
             Body::full(body.to_owned())
         };
@@ -153,6 +211,8 @@
         let attempt = Attempt {
             gateway,
             sent_at: now,
+            timeout: Duration::from_millis(head.deadline_ms),
+            sent_whole_at: None,
             answered_at: None,
             ended_at: now,
             status: None,
@@ -161,16 +221,25 @@
         };
         self.shared.ledger.record_sent(head.request_id, attempt);
         let req = head.encode(addr.parse().ok()?, method, body);
-        let exchange = self.http.send("call", req);
+        let exchange = async {
+            match &mut self.client {
+                Some(client) => client.send(req).await,
+                None => self.http.send("call", req).await.ok(),
+            }
+        };
         let timeout = Duration::from_millis(head.deadline_ms) + CALLER_DELAY_ALLOWANCE;
-        let response = tokio::time::timeout(timeout, exchange).await.ok()?.ok()?;
+        let response = tokio::time::timeout(timeout, exchange).await.ok().flatten();
+        if let Some(at) = *lock(&sent_whole) {
+            self.shared.ledger.record_sent_whole(head.request_id, at);
+        }
+        let response = response?;
         self.shared.ledger.record_answered(head.request_id);
         Some(response)
     }
 
     /// Sends a call and returns its status if the response is complete.
     async fn call_status(
-        &self,
+        &mut self,
         gateway: usize,
         head: &CallerHead<'_>,
         method: &str,
@@ -180,7 +249,7 @@
 
     /// Does the same with another body.
     async fn status_of(
-        &self,
+        &mut self,
         gateway: usize,
         head: &CallerHead<'_>,
         method: &str,
@@ -231,7 +300,7 @@
                 extra: &[("cactusbarrow-prompt-prefix", &prefix)],
                 ..call_head(&id, "/stream/a", PERMANENT_KEY)
             };
-            let gateway = self.draw_gateway();
+            let gateway = self.draw_gateway().await;
             self.call_status(gateway, &head, "POST").await;
             let pause = self.rng.random_range(DEADLY_THINK_TIME_MS);
             tokio::time::sleep(Duration::from_millis(pause)).await;
@@ -251,7 +320,7 @@
             let id = format!("{DEADLY_REQUEST_ID_PREFIX}{name}");
             let id = self.shared.create_id(&id);
             let head = call_head(&id, &request.path, PERMANENT_KEY);
-            let gateway = self.draw_gateway();
+            let gateway = self.draw_gateway().await;
             self.status_of(gateway, &head, method, &body).await;
             let pause = self.rng.random_range(DEADLY_THINK_TIME_MS);
             tokio::time::sleep(Duration::from_millis(pause)).await;
@@ -260,7 +329,7 @@
 
     async fn call(&mut self, kind: &'static str) {
         let id = self.shared.create_id(kind);
-        let gateway = self.draw_gateway();
+        let gateway = self.draw_gateway().await;
         let path = format!("/{kind}/a");
         let method = if kind == "read" { "GET" } else { "POST" };
         let status = self
@@ -276,7 +345,7 @@
 
     /// Calls a route that only the newest configuration contains.
     async fn probe_route(&mut self) {
-        let gateway = self.draw_gateway();
+        let gateway = self.draw_gateway().await;
         let newest = self.shared.environment.newest_config();
         let id = self.shared.create_id("probe");
         let path = format!("/v{}/a", newest.version);
@@ -318,7 +387,7 @@
 
     /// Makes a call with a key that the newest configuration no longer contains.
     async fn probe_removed_key(&mut self) {
-        let gateway = self.draw_gateway();
+        let gateway = self.draw_gateway().await;
         let newest = self.shared.environment.newest_config();
         let id = self.shared.create_id("key");
         let key = version_key(newest.previous);
@@ -356,14 +425,23 @@
         let number = self.shared.next_id.fetch_add(1, Ordering::Relaxed);
         let prompt = format!("{number:x}");
         let prefix = format!("{COMMON_PART},{prompt}:5000");
+        let size = self.draw_size();
+        let usage = size.map(GenerationTokens::header);
+        let timeout = size.map_or(GENERATION_TIMEOUT, |_| LONG_GENERATION_TIMEOUT);
+        let expected = size.map_or(EVENTS_PER_GENERATION, |size| {
+            size.output / ENGINE_PACE.tokens_per_event
+        });
         let started = Instant::now();
         let mut progress = Progress::default();
-        while started.elapsed() < GENERATION_TIMEOUT {
+        while started.elapsed() < timeout {
             let id = self.shared.create_id("stream");
-            let gateway = self.draw_gateway();
-            let time_left = GENERATION_TIMEOUT.saturating_sub(started.elapsed());
+            let gateway = self.draw_gateway().await;
+            let time_left = timeout.saturating_sub(started.elapsed());
             let last_id = progress.last_event.to_string();
             let mut extra = vec![("cactusbarrow-prompt-prefix", prefix.as_str())];
+            if let Some(usage) = &usage {
+                extra.push(("cactusbarrow-token-usage", usage));
+            }
             if let Some(first_attempt) = &progress.first_attempt {
                 extra.push(("last-event-id", &last_id));
                 extra.push(("resumes", first_attempt));
@@ -390,7 +468,7 @@
             self.shared.ledger.record_response(&id, status);
             if is_complete {
                 let last_event = progress.last_event;
-                if last_event != EVENTS_PER_GENERATION {
+                if last_event != expected {
                     let text = format!("{id}: ended as complete after event {last_event}");
                     self.shared
                         .ledger
@@ -404,6 +482,12 @@
         self.shared.ledger.increment("generations given up");
     }
 
+    /// Draws the size of a generation; `None` if the engines give all of them the same.
+    fn draw_size(&mut self) -> Option<GenerationTokens> {
+        self.client.as_ref()?;
+        Some(GENERATION_SIZES[self.rng.random_range(0..GENERATION_SIZES.len())])
+    }
+
     async fn wait_before_retry<B>(&self, res: &Response<B>) {
         let wait = res
             .headers()
@@ -415,7 +499,7 @@
 
     /// Reads a stream; returns whether it closed in order after its last whole event.
     async fn read_stream(
-        &self,
+        &mut self,
         res: Response<Incoming>,
         id: &str,
         prompt: &str,
@@ -424,6 +508,10 @@
         let mut body = res.into_body();
         let mut splitter = EventSplitter::default();
         loop {
+            let client = self.client.as_ref();
+            if let Some(pause) = client.and_then(|client| client.read_pause(&mut self.rng)) {
+                tokio::time::sleep(pause).await;
+            }
             let Ok(frame) = tokio::time::timeout(STREAM_IDLE_TIMEOUT, body.frame()).await else {
                 return false;
             };
--- a/examples/soak/checks.rs
+++ b/examples/soak/checks.rs
@@ -1,7 +1,7 @@
 //! Checks of invariants after a run, from what callers and backend servers observed.
 
 use std::collections::HashMap;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use cactusbarrow_adapter_standins::Run;
 
@@ -31,8 +31,9 @@
 /// Time after a stop signal until which requests may be cut at the drain time-out.
 const LAST_DRAINED_ARRIVAL: Duration = Duration::from_millis(3_000);
 
-/// Start of the last sixth of the 4 s that the gateways' settings give a graceful stop.
-const DRAIN_TIMEOUT_START: Duration = Duration::from_millis(3_333);
+/// Part of the grace period, from its start, after which a stopping gateway may cut a request at whose backend
+/// server work goes on.
+const UNCUT_GRACE_SHARE: f64 = 5.0 / 6.0;
 
 /// Time within which gateways notice that a paused server is back.
 const RETURN_DETECTION_BOUND: Duration = Duration::from_millis(500);
@@ -41,20 +42,20 @@
 pub(crate) fn check_attempts(ledger: &Ledger, environment: &Environment) {
     let instances = environment.take_instance_records();
     let attempts = ledger.attempts();
-    let mut runs: HashMap<&str, u32> = HashMap::new();
+    let mut runs: HashMap<&str, Vec<&Run>> = HashMap::new();
     for instance in &instances {
         for run in &instance.runs {
             let Some(id) = request_id(run) else {
                 ledger.record_violation("every run has a request id", instance.instance.clone());
                 continue;
             };
-            *runs.entry(id).or_default() += 1;
+            runs.entry(id).or_default().push(run);
             check_run(ledger, instance, run, id, attempts.get(id));
         }
     }
     for (id, attempt) in &attempts {
-        let count = runs.get(id.as_str()).copied().unwrap_or(0);
-        check_attempt(ledger, id, attempt, count);
+        let runs = runs.get(id.as_str()).map_or(&[][..], Vec::as_slice);
+        check_attempt(ledger, environment, id, attempt, runs);
         check_undisrupted(ledger, id, attempt, environment);
     }
     let observations = Observations {
@@ -110,14 +111,21 @@
     }
 }
 
-fn check_attempt(ledger: &Ledger, id: &str, attempt: &Attempt, runs: u32) {
-    if attempt.is_at_most_once && runs > 1 {
-        ledger.record_violation("at most once", format!("{id} ran {runs} times"));
+fn check_attempt(
+    ledger: &Ledger,
+    environment: &Environment,
+    id: &str,
+    attempt: &Attempt,
+    runs: &[&Run],
+) {
+    if attempt.is_at_most_once && runs.len() > 1 {
+        let text = format!("{id} ran {} times", runs.len());
+        ledger.record_violation("at most once", text);
     }
     let is_reported_not_run = attempt
         .status
         .is_some_and(|status| NOT_RUN_STATUSES.contains(&status));
-    if attempt.is_at_most_once && is_reported_not_run && runs > 0 {
+    if attempt.is_at_most_once && is_reported_not_run && !runs.is_empty() {
         let text = format!("{id} got {:?} and ran", attempt.status);
         ledger.record_violation("a not-run status means that the request did not run", text);
     }
@@ -125,13 +133,14 @@
     let [unplanned, link, _] = Scope::of_gateway(attempt.gateway);
     let unplanned = [unplanned, link, Scope::Backends, Scope::BackendLinks];
     let is_unexcused = ledger.is_undisrupted(&unplanned, attempt.sent_at, attempt.ended_at);
-    let duration = attempt.ended_at - attempt.sent_at;
+    let sent_whole_at = attempt.sent_whole_at.unwrap_or(attempt.sent_at);
+    let since_sent = attempt.ended_at.saturating_duration_since(sent_whole_at);
     // A gateway that stops may close a connection on which it has not read a request.
-    let is_accepted = runs > 0 || duration > LOSS_BOUND + CALLER_DELAY_ALLOWANCE;
-    let is_excused = runs > 0 && is_cut_at_drain_timeout(ledger, attempt);
+    let is_accepted = !runs.is_empty() || since_sent > LOSS_BOUND + CALLER_DELAY_ALLOWANCE;
+    let is_excused = is_cut_in_last_grace(ledger, environment.grace, attempt, runs)
+        || is_stream_cut_at_deadline(attempt);
     if attempt.status.is_none() && is_accepted && is_unexcused && !is_excused {
-        let gateway = attempt.gateway;
-        let text = format!("{id} at gateway {gateway} got no complete response in {duration:?}");
+        let text = describe_loss(ledger, id, attempt, runs);
         ledger.record_violation(
             "pauses, planned stops and store outages interrupt no request",
             text,
@@ -139,18 +148,73 @@
     }
 }
 
-/// Returns whether a stopping gateway cut an attempt only at the end of the time that it has for
-/// work in flight; an attempt that began late in that time has to end before.
-fn is_cut_at_drain_timeout(ledger: &Ledger, attempt: &Attempt) -> bool {
-    // The caller observes the end after the gateway has exited.
-    let at = attempt.ended_at.checked_sub(CALLER_DELAY_ALLOWANCE);
-    let at = at.unwrap_or(attempt.ended_at);
+/// Returns whether a stopping gateway cut an attempt at the end of its grace period, while a backend server still
+/// worked on it; an attempt that began late in that time has to end before.
+fn is_cut_in_last_grace(
+    ledger: &Ledger,
+    grace: Duration,
+    attempt: &Attempt,
+    runs: &[&Run],
+) -> bool {
+    // The caller observes the end after the gateway has exited; one that reads slowly, long after.
+    let cuts = runs.iter().filter_map(|run| run.end.get());
+    let cut_at = cuts.filter(|end| !end.is_complete).map(|end| end.at).max();
+    let seen_at = cut_at.map_or(attempt.ended_at, |at| at.min(attempt.ended_at));
+    let at = seen_at.checked_sub(CALLER_DELAY_ALLOWANCE);
+    let at = at.unwrap_or(seen_at);
     ledger.was_stopping(attempt.gateway, at, |stop_at| {
+        let may_cut_at = stop_at + grace.mul_f64(UNCUT_GRACE_SHARE);
+        let is_at_work = |run: &&Run| run.end.get().is_none_or(|end| end.at >= may_cut_at);
         attempt.sent_at <= stop_at + LAST_DRAINED_ARRIVAL
-            && attempt.ended_at >= stop_at + DRAIN_TIMEOUT_START
+            && attempt.ended_at >= may_cut_at
+            && runs.iter().any(is_at_work)
     })
 }
 
+/// Returns whether a stream was still running at the deadline of its caller.
+fn is_stream_cut_at_deadline(attempt: &Attempt) -> bool {
+    attempt.answered_at.is_some() && attempt.ended_at >= attempt.sent_at + attempt.timeout
+}
+
+/// Describes an attempt without a complete response, with times since the last stop signal of its gateway, or
+/// else since it was sent.
+fn describe_loss(ledger: &Ledger, id: &str, attempt: &Attempt, runs: &[&Run]) -> String {
+    let stop_at = ledger.last_stop(attempt.gateway, attempt.ended_at);
+    let origin = stop_at.unwrap_or(attempt.sent_at);
+    let since = |at: Instant| {
+        let later = at.saturating_duration_since(origin).as_secs_f64();
+        later - origin.saturating_duration_since(at).as_secs_f64()
+    };
+    let time =
+        |at: Option<Instant>| at.map_or("never".to_owned(), |at| format!("{:.3}", since(at)));
+    let runs = runs.iter().map(|run| {
+        let end = run.end.get();
+        let how = end.map_or(
+            "goes on",
+            |end| if end.is_complete { "complete" } else { "cut" },
+        );
+        format!(
+            "{:.3} to {} {how}",
+            since(run.started_at),
+            time(end.map(|end| end.at))
+        )
+    });
+    format!(
+        "{id} at gateway {}, s since {}: sent {:.3}, whole {}, head {}, ended {:.3}; runs: [{}]",
+        attempt.gateway,
+        if stop_at.is_some() {
+            "the stop signal"
+        } else {
+            "sent"
+        },
+        since(attempt.sent_at),
+        time(attempt.sent_whole_at),
+        time(attempt.answered_at),
+        since(attempt.ended_at),
+        runs.collect::<Vec<_>>().join(", ")
+    )
+}
+
 /// Checks that an attempt succeeded if nothing was disrupted meanwhile.
 fn check_undisrupted(ledger: &Ledger, id: &str, attempt: &Attempt, environment: &Environment) {
     let gateways = 0..environment.gateways.len();
--- a/examples/soak/environment.rs
+++ b/examples/soak/environment.rs
@@ -6,8 +6,8 @@
 
 use anyhow::Context;
 use cactusbarrow_adapter_standins::{
-    BackendStandin, DeadlyRequest, Rejection, Run, StoreCopy, StoreStandin, config_json,
-    entry_json_with_software,
+    BackendStandin, DeadlyRequest, EnginePace, Rejection, Run, StoreCopy, StoreStandin,
+    config_json, entry_json_with_software,
 };
 use serde_json::{Value, json};
 
@@ -17,6 +17,13 @@
 /// Number of events of a generation.
 pub(crate) const EVENTS_PER_GENERATION: u64 = 30;
 
+/// Pace of engines whose generations differ in length.
+pub(crate) const ENGINE_PACE: EnginePace = EnginePace {
+    prompt_tokens_per_ms: 5,
+    tokens_per_event: 8,
+    slowdown: 1.0,
+};
+
 /// Time between two events of a generation.
 const EVENT_INTERVAL: Duration = Duration::from_millis(30);
 
@@ -125,6 +132,10 @@
     written: Mutex<WrittenConfig>,
     /// What ends backend servers, also those that start later.
     deadly: Mutex<Deadly>,
+    /// Pace of the engines, also of those that start later.
+    pace: Mutex<Option<EnginePace>>,
+    /// Grace period of the gateways.
+    pub(crate) grace: Duration,
     /// By key; locked during each write, so that the store sees writes in the same order.
     last_writes: Mutex<BTreeMap<String, LastWrite>>,
 }
@@ -174,6 +185,8 @@
             retired_instances: Mutex::default(),
             written: Mutex::new(written),
             deadly: Mutex::default(),
+            pace: Mutex::default(),
+            grace: launch.grace,
             last_writes: Mutex::default(),
         };
         environment.write_configuration(1);
@@ -322,6 +335,14 @@
         }
     }
 
+    /// Makes all engines run generations of different lengths, at `pace`.
+    pub(crate) fn set_pace(&self, pace: EnginePace) {
+        *lock(&self.pace) = Some(pace);
+        for backend in &self.backends {
+            lock(backend).standin.set_pace(Some(pace));
+        }
+    }
+
     /// Kills an instance.
     pub(crate) fn kill(&self, index: usize) {
         lock(&self.backends[index]).standin.kill();
@@ -344,6 +365,7 @@
         let mut backend = lock(&self.backends[index]);
         backend.standin.kill();
         lock(&self.deadly).apply(&standin);
+        standin.set_pace(*lock(&self.pace));
         backend.proxy.retarget(standin.addr());
         let old = std::mem::replace(&mut backend.standin, standin);
         let drained_at = backend.drained_at.take();
--- a/examples/soak/faults.rs
+++ b/examples/soak/faults.rs
@@ -14,8 +14,8 @@
 use crate::ledger::{Ledger, Scope};
 use crate::proxy::Proxy;
 
-/// Longest time that a graceful stop may take: the drain time-out and the exit itself.
-const STOP_BOUND: Duration = Duration::from_millis(5_000);
+/// Time by which a graceful stop may exceed its grace period, with the start that follows.
+const STOP_ALLOWANCE: Duration = Duration::from_millis(1_000);
 
 /// Time that an instance keeps serving after its drain began, until it is replaced.
 const DRAIN_TIME: Duration = Duration::from_millis(3_500);
@@ -48,6 +48,12 @@
 /// Largest number of backend servers that are paused at once, unless a whole zone is.
 const MAX_PAUSED_BACKENDS: usize = 3;
 
+/// Probability that a gateway is stopped again right after its start.
+const STOP_AGAIN_PROBABILITY: f64 = 0.15;
+
+/// Time between that start and the stop, in milliseconds.
+const STOP_AGAIN_MS: std::ops::Range<u64> = 0..600;
+
 /// A kind of fault or of planned work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum FaultKind {
@@ -92,6 +98,19 @@
     FaultKind::GatewayReload,
 ];
 
+/// The kinds that come beside stops of gateways.
+const BESIDE_STOPS: &FaultMix = &[
+    FaultKind::BackendPause,
+    FaultKind::Store,
+    FaultKind::StoreHistory,
+    FaultKind::StoreReturn,
+    FaultKind::EntryExpiry,
+    FaultKind::Configuration,
+    FaultKind::Configuration,
+    FaultKind::GatewayReload,
+    FaultKind::GatewayReload,
+];
+
 /// The kinds that do not excuse an interrupted request.
 const PLANNED_FAULTS: &FaultMix = &[
     FaultKind::BackendPause,
@@ -176,6 +195,20 @@
         Self { mix, ..injector }
     }
 
+    /// Creates an injector for a stop of a gateway, or an event beside one.
+    pub(crate) fn beside_stops(
+        environment: Arc<Environment>,
+        ledger: Arc<Ledger>,
+        plan: &Plan,
+        index: u64,
+    ) -> Self {
+        let injector = Self::new(environment, ledger, plan, index);
+        Self {
+            mix: BESIDE_STOPS,
+            ..injector
+        }
+    }
+
     /// Injects one fault and reverts it.
     pub(crate) async fn inject_one(mut self) -> anyhow::Result<String> {
         let kind = self.mix[self.rng.random_range(0..self.mix.len())];
@@ -461,6 +494,25 @@
 
     async fn stop_gateway(&mut self) -> anyhow::Result<String> {
         let gateway = self.draw_gateway();
+        self.stop(gateway).await
+    }
+
+    /// Stops a gateway after some time and starts it again; at times stops it once more at once.
+    pub(crate) async fn stop_later(
+        mut self,
+        gateway: usize,
+        after: Duration,
+    ) -> anyhow::Result<String> {
+        tokio::time::sleep(after).await;
+        let mut description = self.stop(gateway).await?;
+        if self.rng.random_bool(STOP_AGAIN_PROBABILITY) {
+            self.pause(STOP_AGAIN_MS).await;
+            description += &format!("; {}", self.stop(gateway).await?);
+        }
+        Ok(description)
+    }
+
+    async fn stop(&mut self, gateway: usize) -> anyhow::Result<String> {
         let id = self.ledger.begin_disruption(Scope::Stop(gateway));
         lock(&self.environment.gateways[gateway]).signal(Signal::TERM);
         let started = Instant::now();
@@ -468,7 +520,7 @@
         self.ledger.end_disruption(id);
         let duration = started.elapsed();
         let unplanned = [Scope::Gateway(gateway), Scope::StoreLink(gateway)];
-        if duration > STOP_BOUND
+        if duration > self.environment.grace + STOP_ALLOWANCE
             && self
                 .ledger
                 .is_undisrupted(&unplanned, started, started + duration)
--- a/examples/soak/flags.rs
+++ b/examples/soak/flags.rs
@@ -1,5 +1,7 @@
 //! Command line of the soak.
 
+use std::path::PathBuf;
+
 xflags::xflags! {
     /// Runs gateways as processes, injects faults from outside and checks invariants.
     cmd soak {
@@ -17,6 +19,8 @@
         optional --injectors injectors: u64
         /// Scenarios to play, separated by commas, instead of what the seed draws; `none` for none.
         optional --scenarios names: String
+        /// Executable of the daemon; the one that was built beside this program if absent.
+        optional --daemon path: PathBuf
         /// Number of callers; 16 if absent.
         optional --callers callers: usize
     }
--- a/examples/soak/ledger.rs
+++ b/examples/soak/ledger.rs
@@ -100,6 +100,10 @@
     pub(crate) gateway: usize,
     /// When it was sent.
     pub(crate) sent_at: Instant,
+    /// Time that its caller waits.
+    pub(crate) timeout: Duration,
+    /// When its last byte was handed over for sending, if it was and that was noted.
+    pub(crate) sent_whole_at: Option<Instant>,
     /// When the head of the response arrived, if it did.
     pub(crate) answered_at: Option<Instant>,
     /// When the response was complete, or the caller gave up.
@@ -240,6 +244,14 @@
         })
     }
 
+    /// Returns when the last graceful stop of `gateway` before `at` began.
+    pub(crate) fn last_stop(&self, gateway: usize, at: Instant) -> Option<Instant> {
+        let state = self.state();
+        let stops = state.disruptions.iter();
+        let stops = stops.filter(|d| d.scope == Scope::Stop(gateway) && d.from <= at);
+        stops.map(|d| d.from).max()
+    }
+
     /// Returns whether none of `scopes` was disrupted between `from` and `to`.
     pub(crate) fn is_clear_between(&self, scopes: &[Scope], from: Instant, to: Instant) -> bool {
         let state = self.state();
@@ -264,6 +276,13 @@
         self.state().attempts.insert(request_id.to_owned(), attempt);
     }
 
+    /// Records when the last byte of an attempt was handed over for sending.
+    pub(crate) fn record_sent_whole(&self, request_id: &str, at: Instant) {
+        if let Some(attempt) = self.state().attempts.get_mut(request_id) {
+            attempt.sent_whole_at = Some(at);
+        }
+    }
+
     /// Records that the head of an attempt's response arrived.
     pub(crate) fn record_answered(&self, request_id: &str) {
         if let Some(attempt) = self.state().attempts.get_mut(request_id) {
--- a/examples/soak/main.rs
+++ b/examples/soak/main.rs
@@ -4,8 +4,10 @@
 //! faults and the load; the timing of the processes differs from run to run. The logs of a run
 //! that violated an invariant stay under `target/soak`.
 
+mod balancer;
 mod callers;
 mod checks;
+mod client;
 mod environment;
 mod faults;
 mod flags;
@@ -16,7 +18,7 @@
 mod scenarios;
 
 use std::net::TcpListener;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
@@ -26,8 +28,9 @@
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
-use crate::callers::{Caller, CallerContext};
-use crate::environment::{Environment, SOFTWARE_VERSIONS, lock};
+use crate::balancer::Balancer;
+use crate::callers::{Caller, CallerContext, GENERATION_TIMEOUT, LONG_GENERATION_TIMEOUT};
+use crate::environment::{ENGINE_PACE, Environment, SOFTWARE_VERSIONS, lock};
 use crate::faults::Injector;
 use crate::ledger::Ledger;
 use crate::process::LaunchConfig;
@@ -42,8 +45,14 @@
 /// Time without faults at the end of a run; after the recovery time, every request has to succeed.
 const UNDISRUPTED_TIME: Duration = Duration::from_millis(6_000);
 
-/// Time that callers get to finish their last requests.
-const FINISH_TIMEOUT: Duration = Duration::from_secs(12);
+/// Time beyond their deadlines that callers get to finish their last requests.
+const FINISH_ALLOWANCE: Duration = Duration::from_secs(2);
+
+/// Grace period of the gateways, unless their stops are what is tested.
+const SHORT_GRACE: Duration = Duration::from_secs(4);
+
+/// Grace period of gateways whose stops are tested, as in production.
+const LONG_GRACE: Duration = Duration::from_secs(8);
 
 /// Lowest port that gateways may use.
 const FIRST_PORT: u16 = 23_000;
@@ -66,6 +75,33 @@
     software_versions: usize,
     injectors: u64,
     scenarios: Vec<Scenario>,
+    /// Executable of the daemon, if it is not the one that was built beside this program.
+    daemon: Option<PathBuf>,
+}
+
+impl Plan {
+    /// Returns whether graceful stops are what is tested: callers then connect through a load balancer.
+    fn tests_stops(&self) -> bool {
+        self.scenarios.contains(&Scenario::Stops)
+    }
+
+    /// Returns the grace period of the gateways.
+    fn grace(&self) -> Duration {
+        if self.tests_stops() {
+            LONG_GRACE
+        } else {
+            SHORT_GRACE
+        }
+    }
+
+    /// Returns the longest time that a caller spends on one generation.
+    fn generation_timeout(&self) -> Duration {
+        if self.tests_stops() {
+            LONG_GENERATION_TIMEOUT
+        } else {
+            GENERATION_TIMEOUT
+        }
+    }
 }
 
 fn main() -> ExitCode {
@@ -106,6 +142,7 @@
             software_versions: 1 + (seed / MAX_INJECTORS) as usize % SOFTWARE_VERSIONS.len(),
             injectors: flags.injectors.unwrap_or(1 + seed % MAX_INJECTORS),
             scenarios: scenarios(flags, seed)?,
+            daemon: flags.daemon.clone(),
         };
         failed += u64::from(!runtime.block_on(run(plan))?);
     }
@@ -131,10 +168,15 @@
         std::fs::remove_dir_all(&dir).context("remove old logs")?;
     }
     std::fs::create_dir_all(&dir).context("create the directory for logs")?;
+    let program = match &plan.daemon {
+        Some(program) => program.clone(),
+        None => process::find_daemon(&current_exe)?,
+    };
     let launch = LaunchConfig {
-        program: process::find_daemon(&current_exe)?,
+        program,
         dir: dir.clone(),
         base_port: free_ports(plan.gateways),
+        grace: plan.grace(),
     };
     let environment = Arc::new(
         Environment::start(&launch, plan.gateways, plan.engines, plan.software_versions).await?,
@@ -143,11 +185,7 @@
     tokio::time::sleep(START_WAIT).await;
     let (stop_callers, stop_faults) = (CancellationToken::new(), CancellationToken::new());
     let callers = Arc::new(CallerContext::new(environment.clone(), ledger.clone()));
-    let mut running = JoinSet::new();
-    for i in 0..plan.callers {
-        let caller = Caller::new(callers.clone(), plan.seed * 1_000 + i as u64);
-        running.spawn(caller.run(stop_callers.clone()));
-    }
+    let mut running = start_callers(&plan, &callers, &stop_callers);
     let mut injectors = JoinSet::new();
     for i in 0..plan.injectors {
         let injector = Injector::new(environment.clone(), ledger.clone(), &plan, i);
@@ -166,7 +204,8 @@
     tokio::time::sleep(UNDISRUPTED_TIME).await;
     stop_callers.cancel();
     let finish = async { while running.join_next().await.is_some() {} };
-    if tokio::time::timeout(FINISH_TIMEOUT, finish).await.is_err() {
+    let finish_timeout = plan.generation_timeout() + FINISH_ALLOWANCE;
+    if tokio::time::timeout(finish_timeout, finish).await.is_err() {
         ledger.record_violation(
             "every caller finishes in time",
             "some still wait".to_owned(),
@@ -189,6 +228,25 @@
     report(plan, &ledger, &mut faults, &dir)
 }
 
+/// Starts the callers, which run until `stop` is cancelled.
+fn start_callers(plan: &Plan, cx: &Arc<CallerContext>, stop: &CancellationToken) -> JoinSet<()> {
+    let environment = &cx.environment;
+    let balancer = plan.tests_stops().then(|| {
+        environment.set_pace(ENGINE_PACE);
+        Balancer::start(plan.gateways, environment.base_port)
+    });
+    let mut running = JoinSet::new();
+    for i in 0..plan.callers {
+        let (cx, seed) = (cx.clone(), plan.seed * 1_000 + i as u64);
+        let caller = match &balancer {
+            Some(balancer) => Caller::behind(cx, seed, balancer.clone()),
+            None => Caller::new(cx, seed),
+        };
+        running.spawn(caller.run(stop.clone()));
+    }
+    running
+}
+
 fn report(plan: Plan, ledger: &Ledger, faults: &mut [String], dir: &Path) -> anyhow::Result<bool> {
     let counts: Vec<String> = ledger
         .counts()
--- a/examples/soak/process.rs
+++ b/examples/soak/process.rs
@@ -5,9 +5,10 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::OnceLock;
+use std::time::Duration;
 
 use anyhow::Context;
-use cactusbarrow_adapter_standins::settings_yaml;
+use cactusbarrow_adapter_standins::settings_yaml_with_grace;
 use rustix::process::{Pid, Signal, kill_process};
 
 /// How gateways are started: on one loopback address each, all with the same ports.
@@ -19,6 +20,8 @@
     pub(crate) dir: PathBuf,
     /// First of the consecutive ports of each gateway.
     pub(crate) base_port: u16,
+    /// Grace period of a graceful stop.
+    pub(crate) grace: Duration,
 }
 
 /// One gateway: its settings, and its process if it runs.
@@ -43,7 +46,8 @@
         let (ip, seed) = (gateway_ip(index), gateway_ip(usize::from(index == 0)));
         let name = format!("gateway-{index}");
         let settings = launch.dir.join(format!("{name}.yaml"));
-        let text = settings_yaml(&name, &ip, launch.base_port, &seed, store);
+        let (port, grace) = (launch.base_port, launch.grace);
+        let text = settings_yaml_with_grace(&name, &ip, port, &seed, store, grace);
         std::fs::write(&settings, text).context("write settings")?;
         Ok(Self {
             name,
--- a/examples/soak/scenarios.rs
+++ b/examples/soak/scenarios.rs
@@ -5,15 +5,16 @@
 use std::time::{Duration, Instant};
 
 use anyhow::Context;
-use cactusbarrow_adapter_standins::DeadlyRequest;
+use cactusbarrow_adapter_standins::{DeadlyRequest, EnginePace};
 use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
 use crate::Plan;
 use crate::callers::{Caller, CallerContext, GENERATION_TIMEOUT};
-use crate::environment::{SERVICES, SOFTWARE_VERSIONS, lock};
+use crate::environment::{ENGINE_PACE, SERVICES, SOFTWARE_VERSIONS, lock};
 use crate::faults::Injector;
 use crate::ledger::{LimitPeriod, Scope, Wait};
 
@@ -92,6 +93,21 @@
 /// Time between two series, in milliseconds.
 const SERIES_PAUSE_MS: std::ops::Range<u64> = 200..2_000;
 
+/// Time within which gateways are stopped that are stopped together, in milliseconds.
+const STOP_SPREAD_MS: std::ops::Range<u64> = 0..3_000;
+
+/// Number of other events beside stops.
+const EVENTS_BESIDE_STOPS: std::ops::Range<u32> = 0..3;
+
+/// Time between the first stop and an event beside it, in milliseconds.
+const EVENT_SPREAD_MS: std::ops::Range<u64> = 0..8_000;
+
+/// Probability that the engines are slower for a time beside stops.
+const SLOW_PROBABILITY: f64 = 0.4;
+
+/// Factor by which they are slower.
+const SLOWDOWN: std::ops::Range<f64> = 1.2..2.5;
+
 /// Indices of injectors that take the steps of series; they distinguish their seeds.
 const SERIES_INDICES: std::ops::Range<u64> = 1_000..1_000_000_000;
 
@@ -117,10 +133,13 @@
     Versions,
     /// Another writer stores odd entries beside those of backend servers, and over some of them.
     OddEntries,
+    /// Gateways get SIGTERM at any time, several of them together, beside signals and changes; all callers
+    /// connect through a load balancer, and generations differ in length.
+    Stops,
 }
 
 /// All scenarios by the names that the command line uses.
-const NAMES: [(&str, Scenario); 8] = [
+const NAMES: [(&str, Scenario); 9] = [
     ("series", Scenario::Series),
     ("retry-after", Scenario::RetryAfter),
     ("leaving", Scenario::Leaving),
@@ -129,6 +148,7 @@
     ("deadly-requests", Scenario::DeadlyRequests),
     ("versions", Scenario::Versions),
     ("odd-entries", Scenario::OddEntries),
+    ("stops", Scenario::Stops),
 ];
 
 /// Scenarios that a seed draws unless the command line names others, by the seed modulo
@@ -207,6 +227,7 @@
                 Scenario::DeadlyRequests => self.send_deadly_requests().await?,
                 Scenario::Versions => self.replace_versions().await?,
                 Scenario::OddEntries => self.write_odd_entries().await,
+                Scenario::Stops => self.stop_gateways().await?,
             };
             self.log.push(format!("{at:.2} s: {description}"));
         }
@@ -379,6 +400,56 @@
         Ok(format!("series: {}", descriptions.join("; ")))
     }
 
+    /// Stops some gateways or all, beside signals, changes and pauses that excuse no interrupted request.
+    async fn stop_gateways(&mut self) -> anyhow::Result<String> {
+        let mut gateways: Vec<usize> = (0..self.cx.environment.gateways.len()).collect();
+        gateways.shuffle(&mut self.rng);
+        gateways.truncate(self.rng.random_range(1..=gateways.len()));
+        let mut steps = JoinSet::new();
+        for gateway in gateways {
+            let after = Duration::from_millis(self.rng.random_range(STOP_SPREAD_MS));
+            steps.spawn(self.injector_beside_stops().stop_later(gateway, after));
+        }
+        for _ in 0..self.rng.random_range(EVENTS_BESIDE_STOPS) {
+            let after = Duration::from_millis(self.rng.random_range(EVENT_SPREAD_MS));
+            let injector = self.injector_beside_stops();
+            steps.spawn(async move {
+                tokio::time::sleep(after).await;
+                injector.inject_one().await
+            });
+        }
+        let slowdown = self.rng.random_bool(SLOW_PROBABILITY).then(|| {
+            let after = Duration::from_millis(self.rng.random_range(EVENT_SPREAD_MS));
+            (after, self.rng.random_range(SLOWDOWN))
+        });
+        if let Some((after, slowdown)) = slowdown {
+            let environment = self.cx.environment.clone();
+            steps.spawn(async move {
+                tokio::time::sleep(after).await;
+                let slow = EnginePace {
+                    slowdown,
+                    ..ENGINE_PACE
+                };
+                environment.set_pace(slow);
+                Ok(format!("engines slower by {slowdown:.1}"))
+            });
+        }
+        let mut descriptions = Vec::new();
+        while let Some(step) = steps.join_next().await {
+            descriptions.push(step.context("take a step beside stops")??);
+        }
+        self.cx.environment.set_pace(ENGINE_PACE);
+        let pause = self.rng.random_range(SERIES_PAUSE_MS);
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+        Ok(descriptions.join("; "))
+    }
+
+    fn injector_beside_stops(&mut self) -> Injector {
+        let (environment, ledger) = (self.cx.environment.clone(), self.cx.ledger.clone());
+        let index = self.rng.random_range(SERIES_INDICES);
+        Injector::beside_stops(environment, ledger, &self.plan, index)
+    }
+
     /// Writes odd entries that stay, and then one over the entry of a sound backend server.
     async fn write_odd_entries(&mut self) -> String {
         let environment = self.cx.environment.clone();
