Write the whole log before the exit, and name each stream that the exit cuts

Operators found no line for streams that were cut around SIGTERM: a thread writes the lines that wait in a queue, and the process exited without waiting for it, so the newest lines were lost, among them "gateway stopped" of most stops in the soak's logs. A stream that was cut at the exit was logged as "caller disconnected", as if its caller had left.

The exit now drops the runtime first, so that requests that are still open log their end, and then waits up to 150 ms until the queue has been written; a stalled reader of the log delays the exit by no more. Streams that are cut are logged as such, with a count of the connections.

--- a/crates/cactusbarrow_daemon/src/gateway.rs
+++ b/crates/cactusbarrow_daemon/src/gateway.rs
@@ -1,6 +1,7 @@
 //! Runs a gateway process, from its settings to its graceful shutdown.
 
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 use anyhow::Context;
 use cactusbarrow_adapter::{GatewaySettings, SETTINGS_VARIABLE, parse_settings};
@@ -12,6 +13,9 @@
 use crate::line_queue::LineQueue;
 use crate::logs;
 
+/// Longest time for which the exit waits until the log has been written; it ends before the grace period does.
+const LOG_FLUSH_TIMEOUT: Duration = Duration::from_millis(150);
+
 /// Reads the settings from `file`, or else from the file that the environment variable
 /// [`SETTINGS_VARIABLE`] names.
 pub(crate) fn read_settings(file: Option<PathBuf>) -> anyhow::Result<(PathBuf, GatewaySettings)> {
@@ -36,7 +40,8 @@
 pub(crate) fn run(file: &Path, settings: GatewaySettings) -> anyhow::Result<bool> {
     let queue =
         LineQueue::start(SystemClock, std::io::stdout()).context("start the log writer thread")?;
-    let output = fern::Output::call(move |record| queue.push(record));
+    let lines = queue.clone();
+    let output = fern::Output::call(move |record| lines.push(record));
     logs::start(settings.name.clone(), log::LevelFilter::Info, output)?;
     let mut builder = if settings.cores > 1 {
         let mut builder = tokio::runtime::Builder::new_multi_thread();
@@ -53,6 +58,9 @@
     if let Err(e) = &is_clean {
         log::error!("gateway failed: {e:#}");
     }
+    // Requests that are cut by the exit log their end.
+    drop(runtime);
+    queue.flush(LOG_FLUSH_TIMEOUT);
     is_clean
 }
 
--- a/crates/cactusbarrow_gateway/src/generation.rs
+++ b/crates/cactusbarrow_gateway/src/generation.rs
@@ -40,6 +40,8 @@
             tokio::spawn(async move {
                 if tx.send(first).await {
                     relay(stream, tx).await;
+                } else {
+                    stream.mark_caller_gone();
                 }
             });
             respond(StatusCode::OK, head, body)
@@ -104,12 +106,12 @@
     loop {
         let item = tokio::select! {
             item = stream.next() => item,
-            () = tx.closed() => return,
+            () = tx.closed() => return stream.mark_caller_gone(),
         };
         match item {
             GenerationItem::Event(bytes) => {
                 if !tx.send(bytes).await {
-                    return;
+                    return stream.mark_caller_gone();
                 }
             }
             GenerationItem::End => {
--- a/crates/cactusbarrow_gateway/src/generation/stream.rs
+++ b/crates/cactusbarrow_gateway/src/generation/stream.rs
@@ -95,6 +95,8 @@
     longest_pause: Duration,
     /// Whether the end of the generation has been reported to the caller.
     is_concluded: bool,
+    /// Whether the caller is known to have disconnected.
+    is_caller_gone: bool,
 }
 
 impl<C: Clock> Drop for GenerationStream<C> {
@@ -102,6 +104,17 @@
         if self.is_concluded {
             return;
         }
+        let is_cut = self.req.shared.exit().is_cancelled() && !self.is_caller_gone;
+        if is_cut {
+            log::warn!(
+                request_id = self.request_id(),
+                reason = Reason::ShuttingDown.as_str(),
+                last_event = self.last_event(),
+                elapsed_ms = self.elapsed_ms();
+                "generation cut at the exit of the process"
+            );
+            return;
+        }
         log::info!(
             request_id = self.request_id(),
             reason = Reason::CallerGone.as_str(),
@@ -134,6 +147,7 @@
             last_progress_at: req.arrived,
             longest_pause: Duration::ZERO,
             is_concluded: false,
+            is_caller_gone: false,
             req,
         }
     }
@@ -174,6 +188,11 @@
         self.is_concluded = true;
     }
 
+    /// Records that the caller has disconnected.
+    pub(crate) fn mark_caller_gone(&mut self) {
+        self.is_caller_gone = true;
+    }
+
     /// Records the pace of a complete generation.
     pub(crate) fn record_complete(&self) {
         let shared = &self.req.shared;
--- a/crates/cactusbarrow_gateway/src/start.rs
+++ b/crates/cactusbarrow_gateway/src/start.rs
@@ -146,6 +146,9 @@
         log::info!(connections = self.connections.len(); "closing callers' connections");
         self.connections.close();
         let is_clean = self.finish_connections().await;
+        if !is_clean {
+            log::warn!(connections = self.connections.len(); "connections are cut at the exit");
+        }
         self.listener_stop.stop.cancel();
         self.internal_stop.stop.cancel();
         self.background_stop.cancel();
--- /dev/null
+++ b/tests/gateway_stops.rs
@@ -0,0 +1,142 @@
+//! Tests of signals to a gateway that runs as a process, and of what its log tells about its end.
+
+use std::io::{BufRead, BufReader, Read};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::{Child, ChildStdout, Command, Stdio};
+use std::time::Duration;
+
+use cactusbarrow_adapter_standins::{
+    BackendStandin, CallerHead, StoreStandin, config_json, entry_json, settings_yaml,
+};
+use cactusbarrow_net::{Body, HttpClient, HttpVersion};
+use http_body_util::BodyExt;
+use rustix::process::{Pid, Signal, kill_process};
+use tokio::task::JoinSet;
+
+const KEY: &str = "key-of-stops";
+const BASE_PORT: u16 = 24_900;
+
+/// Time within which all streams have to begin.
+const START_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// A gateway process, whose log is read from a pipe.
+struct GatewayProcess {
+    child: Child,
+    log: BufReader<ChildStdout>,
+    callers: SocketAddr,
+}
+
+impl Drop for GatewayProcess {
+    fn drop(&mut self) {
+        // Errors are ignored: the process may already have exited.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl GatewayProcess {
+    /// Starts a gateway at an address of the loopback network that no other test uses.
+    fn start(ip: &str, store: SocketAddr) -> Self {
+        let settings = settings_yaml("gateway", ip, BASE_PORT, ip, store);
+        let file = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("gateway-{ip}.yaml"));
+        std::fs::write(&file, settings).expect("a file can be written");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_cactusbarrowd"))
+            .args(["gateway", "--settings"])
+            .arg(file)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the daemon starts");
+        let log = BufReader::new(child.stdout.take().expect("a piped log"));
+        let callers = format!("{ip}:{BASE_PORT}").parse().expect("an address");
+        Self {
+            child,
+            log,
+            callers,
+        }
+    }
+
+    /// Reads the log until a line that contains `text`.
+    fn wait_for_line(&mut self, text: &str) {
+        let mut line = String::new();
+        while !line.contains(text) {
+            line.clear();
+            let count = self.log.read_line(&mut line).expect("the log is text");
+            assert!(count > 0, "the log ended without {text:?}");
+        }
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = Pid::from_child(&self.child);
+        kill_process(pid, signal).expect("a signal can be sent");
+    }
+
+    /// Reads the rest of the log and returns it with the exit code, if the process has one.
+    fn wait_for_exit(&mut self) -> (Option<i32>, String) {
+        let mut log = String::new();
+        self.log.read_to_string(&mut log).expect("the log is text");
+        let status = self.child.wait().expect("the daemon ends");
+        (status.code(), log)
+    }
+}
+
+async fn start_store() -> StoreStandin {
+    let store = StoreStandin::start().await.expect("start the store");
+    store.put("op/config", &config_json(1, &[KEY]));
+    store
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn log_names_each_stream_that_is_cut_at_the_exit() {
+    const STREAMS: usize = 60;
+    const EVENTS: u64 = 1_000;
+    let store = start_store().await;
+    let interval = Duration::from_millis(20);
+    let engine = BackendStandin::start("engine", EVENTS, interval)
+        .await
+        .expect("start an engine");
+    let entry = entry_json("llm", engine.addr(), "zona-pa", "ready");
+    store.put("servers/engine", &entry);
+    let mut gateway = GatewayProcess::start("127.0.91.2", store.addr());
+    gateway.wait_for_line("backend server listed");
+    let mut callers = JoinSet::new();
+    for i in 0..STREAMS {
+        let id = format!("cut-{i}-");
+        let head = CallerHead {
+            request_id: &id,
+            path: "/stream/a",
+            key: KEY,
+            deadline_ms: 20_000,
+            extra: &[("cactusbarrow-token-usage", "10,10")],
+        };
+        let req = head.encode(gateway.callers, "POST", Body::full("the body"));
+        callers.spawn(async move {
+            let http = HttpClient::new(HttpVersion::Http1);
+            let res = http.send("call", req).await.expect("a response");
+            res.into_body().collect().await.is_err()
+        });
+    }
+    let all_run = async {
+        while engine.runs().len() < STREAMS {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    let all_run = tokio::time::timeout(START_TIMEOUT, all_run).await;
+    all_run.expect("all streams begin");
+    gateway.signal(Signal::TERM);
+    let (_, log) = tokio::task::spawn_blocking(move || gateway.wait_for_exit())
+        .await
+        .expect("the log is read");
+    for is_cut in callers.join_all().await {
+        assert!(is_cut, "a stream looked complete");
+    }
+    let cut = log.lines().filter(|line| line.contains("cut at the exit"));
+    let cut: Vec<&str> = cut.collect();
+    for i in 0..STREAMS {
+        let id = format!("\"cut-{i}-\"");
+        assert!(cut.iter().any(|line| line.contains(&id)), "{id} is missing");
+    }
+    assert!(!log.contains("caller_gone"), "callers did not leave");
+    let last = log.lines().rfind(|line| line.contains("gateway stopped"));
+    assert!(last.is_some(), "the log ends before the end");
+}
