Name a missing route as the reason when no route matches

A request without a route was refused with 404 and the reason no_such_service. The reason is now no_route. newest_configuration_decides_routes_and_keys checks it, and failed before.

The router keeps no_such_service: there a path or model names a service itself.

--- a/crates/cactusbarrow_gateway/src/request.rs
+++ b/crates/cactusbarrow_gateway/src/request.rs
@@ -278,9 +278,7 @@
             "no route or customer found for the request: {e:?}"
         );
         match e {
-            ResolveError::NoRoute => {
-                Refusal::rejected(StatusCode::NOT_FOUND, Reason::NoSuchService)
-            }
+            ResolveError::NoRoute => Refusal::rejected(StatusCode::NOT_FOUND, Reason::NoRoute),
             ResolveError::UnknownKey => {
                 Refusal::rejected(StatusCode::UNAUTHORIZED, Reason::Unauthorized)
             }
--- a/crates/cactusbarrow_gateway/tests/calls.rs
+++ b/crates/cactusbarrow_gateway/tests/calls.rs
@@ -120,13 +120,9 @@
         ..caller_head("k", "/read/a")
     };
     assert_eq!(gateway.call(&unknown, "GET").await.status(), 401);
-    assert_eq!(
-        gateway
-            .call(&caller_head("p", "/nowhere/a"), "GET")
-            .await
-            .status(),
-        404
-    );
+    let nowhere = gateway.call(&caller_head("p", "/nowhere/a"), "GET").await;
+    assert_eq!(nowhere.status(), 404);
+    assert_eq!(nowhere.text(), "failed: no_route\n");
     cluster.store.put("op/config", &config_json(9, &["key-2"]));
     eventually("version 9 is adopted", || {
         gateway.handle.status().version.0 == 9
--- a/crates/cactusbarrow_policy/src/outcome.rs
+++ b/crates/cactusbarrow_policy/src/outcome.rs
@@ -68,6 +68,8 @@
     Unauthorized = "unauthorized",
     /// No service serves the path or model.
     NoSuchService = "no_such_service",
+    /// No route of the configuration matches the host and path.
+    NoRoute = "no_route",
     /// The request body is larger than the limit.
     TooLarge = "too_large",
     /// The idempotency key was used before with a different body.
