Register the handlers of signals before a daemon serves anyone

A SIGTERM or SIGHUP that came right after the start killed the process at once, with what it served by then: the handlers were registered after the listeners had been opened and the first requests could arrive.

Gateway, router and agent now register them first. signals_right_after_the_start_do_not_kill_the_gateway sends both to ten gateways that have just logged their start: it failed before in 7 of 7 runs and passed in 5 of 5 after. Router and agent have no test of their own; they share the code.

--- a/crates/cactusbarrow_daemon/src/gateway.rs
+++ b/crates/cactusbarrow_daemon/src/gateway.rs
@@ -6,12 +6,13 @@
 use anyhow::Context;
 use cactusbarrow_adapter::{GatewaySettings, SETTINGS_VARIABLE, parse_settings};
 use cactusbarrow_net::SystemClock;
-use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind};
 use tokio_util::sync::CancellationToken;
 
 use crate::admin::{self, Status};
 use crate::line_queue::LineQueue;
 use crate::logs;
+use crate::stop_signals::{self, StopSignals};
 
 /// Longest time for which the exit waits until the log has been written; it ends before the grace period does.
 const LOG_FLUSH_TIMEOUT: Duration = Duration::from_millis(150);
@@ -65,6 +66,8 @@
 }
 
 async fn serve(file: &Path, settings: GatewaySettings) -> anyhow::Result<bool> {
+    let mut stop = StopSignals::register()?;
+    let mut hangup = stop_signals::register(SignalKind::hangup())?;
     let metrics = admin::install_metrics_recorder()?;
     let (name, callers, admin_addr) = (settings.name.clone(), settings.callers, settings.metrics);
     let status = tokio::sync::watch::Sender::new(Status {
@@ -95,7 +98,7 @@
             });
         }
     });
-    wait_for_stop_signal(file).await?;
+    wait_for_stop_signal(file, &mut stop, &mut hangup).await;
     status.send_modify(|status| status.ready = false);
     let is_clean = handle.stop().await;
     log::info!(clean = is_clean; "gateway stopped");
@@ -103,23 +106,14 @@
     Ok(is_clean)
 }
 
-/// Waits for SIGTERM or SIGINT; validates the settings file on each SIGHUP.
-async fn wait_for_stop_signal(file: &Path) -> anyhow::Result<()> {
-    let register = |kind: SignalKind| -> anyhow::Result<Signal> {
-        signal(kind).with_context(|| format!("register a handler for signal {kind:?}"))
-    };
-    let mut terminate = register(SignalKind::terminate())?;
-    let mut interrupt = register(SignalKind::interrupt())?;
-    let mut hangup = register(SignalKind::hangup())?;
+/// Waits for a stop signal; validates the settings file on each SIGHUP.
+async fn wait_for_stop_signal(file: &Path, stop: &mut StopSignals, hangup: &mut Signal) {
     loop {
         tokio::select! {
-            _ = terminate.recv() => break,
-            _ = interrupt.recv() => break,
+            () = stop.recv() => return,
             _ = hangup.recv() => validate_file(file),
         }
     }
-    log::info!("stop signal received; draining");
-    Ok(())
 }
 
 /// Validates a changed settings file, whose addresses and limits take effect at the next start.
--- a/crates/cactusbarrow_daemon/src/run.rs
+++ b/crates/cactusbarrow_daemon/src/run.rs
@@ -7,7 +7,6 @@
 use anyhow::Context;
 use cactusbarrow_net::SystemClock;
 use cactusbarrow_platform::ConsulStore;
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
@@ -16,6 +15,7 @@
 use crate::gateway;
 use crate::logs;
 use crate::settings::{AgentSettings, RouterSettings, read_settings};
+use crate::stop_signals::StopSignals;
 
 const EXIT_USAGE: u8 = 2;
 const EXIT_FAILED: u8 = 1;
@@ -89,6 +89,7 @@
         settings.log_level.into(),
         std::io::stderr(),
     )?;
+    let mut stop = StopSignals::register()?;
     let metrics = admin::install_metrics_recorder()?;
     let shutdown = CancellationToken::new();
     let store = ConsulStore::new(settings.store);
@@ -117,7 +118,7 @@
             });
         }
     });
-    wait_for_stop_signal().await?;
+    stop.recv().await;
     status.send_modify(|status| status.ready = false);
     let is_clean = handle.stop().await;
     stop_admin.cancel();
@@ -130,6 +131,7 @@
         settings.log_level.into(),
         std::io::stderr(),
     )?;
+    let mut stop = StopSignals::register()?;
     let metrics = admin::install_metrics_recorder()?;
     let shutdown = CancellationToken::new();
     let cfg = settings.to_config();
@@ -155,21 +157,9 @@
             status_tx.send_modify(|status| status.revision = revision);
         }
     });
-    wait_for_stop_signal().await?;
+    stop.recv().await;
     status.send_modify(|status| status.ready = false);
     let is_clean = handle.stop().await;
     stop_admin.cancel();
     Ok(is_clean)
 }
-
-async fn wait_for_stop_signal() -> anyhow::Result<()> {
-    let mut terminate =
-        signal(SignalKind::terminate()).context("register a handler for SIGTERM")?;
-    let mut interrupt = signal(SignalKind::interrupt()).context("register a handler for SIGINT")?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
-    log::info!("stop signal received; draining");
-    Ok(())
-}
--- a/tests/gateway_stops.rs
+++ b/tests/gateway_stops.rs
@@ -86,6 +86,26 @@
     store
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn signals_right_after_the_start_do_not_kill_the_gateway() {
+    let store = start_store().await;
+    let mut rounds = JoinSet::new();
+    for host in 10..20 {
+        let store = store.addr();
+        rounds.spawn_blocking(move || {
+            let mut gateway = GatewayProcess::start(&format!("127.0.91.{host}"), store);
+            gateway.wait_for_line("gateway started");
+            gateway.signal(Signal::HUP);
+            gateway.signal(Signal::TERM);
+            gateway.wait_for_exit()
+        });
+    }
+    for (code, log) in rounds.join_all().await {
+        assert_eq!(code, Some(0), "{log}");
+        assert!(log.contains("stop signal received"), "{log}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn log_names_each_stream_that_is_cut_at_the_exit() {
     const STREAMS: usize = 60;
