Wait for the listener's task before the last connections of a stop

The stop waited until no connection was open, told the listener to stop, yielded once, and waited again. With several worker threads the listener may just have accepted a connection that was not counted yet; the process then exited while its request was read. Suspected from reading, no run shows it: the soak's gateways have one thread, and no stream was lost this way in its stops. The stop now waits until the listener's task has ended, after which no connection can be added.

--- a/crates/cactusbarrow_gateway/src/start.rs
+++ b/crates/cactusbarrow_gateway/src/start.rs
@@ -34,6 +34,8 @@
     listener_stop: ListenerStop,
     internal_stop: ListenerStop,
     background_stop: CancellationToken,
+    /// The task that accepts callers' connections.
+    listener: TaskTracker,
     connections: TaskTracker,
 }
 
@@ -93,7 +95,8 @@
     ));
     let cx = shared.clone();
     let handle_caller = move |req| request::serve(cx.clone(), req);
-    tokio::spawn(listener::run(
+    let listener = TaskTracker::new();
+    listener.spawn(listener::run(
         caller_listener,
         "callers",
         shared.clone(),
@@ -106,6 +109,7 @@
         listener_stop,
         internal_stop,
         background_stop,
+        listener,
         connections,
     })
 }
@@ -144,6 +148,7 @@
         tokio::time::sleep(rotation_delay).await;
         self.listener_stop.drain.cancel();
         log::info!(connections = self.connections.len(); "closing callers' connections");
+        self.listener.close();
         self.connections.close();
         let is_clean = self.finish_connections().await;
         if !is_clean {
@@ -166,7 +171,7 @@
             self.connections.wait().await;
             // A connection may have been accepted since the last one ended.
             self.listener_stop.stop.cancel();
-            tokio::task::yield_now().await;
+            self.listener.wait().await;
             self.connections.wait().await;
         };
         let refusals = async {
