--- a/crates/cactusbarrow_policy/src/shutdown.rs
+++ b/crates/cactusbarrow_policy/src/shutdown.rs
@@ -16,8 +16,6 @@
     pub exit_reserve: Duration,
     /// Time before the exit at which requests that are still open are refused.
     pub refusal_reserve: Duration,
-    /// Duration that is assumed of a generation whose route has completed none.
-    pub default_generation_time: Duration,
 }
 
 impl Default for ShutdownConfig {
@@ -26,7 +24,6 @@
             rotation_exit_delay: Duration::from_millis(2_300),
             exit_reserve: Duration::from_millis(300),
             refusal_reserve: Duration::from_millis(200),
-            default_generation_time: Duration::from_secs(6),
         }
     }
 }
@@ -98,13 +95,15 @@
 
     /// Returns whether a generation ends before the exit, given the time that it takes at most by the pace of its
     /// route, if that is known, and the time until its caller gives up.
+    ///
+    /// Without a measured pace only the caller bounds it, as in a process that has just started.
     pub fn can_end_generation(
         &self,
         now: Instant,
         longest: Option<Duration>,
         caller_time_left: Duration,
     ) -> bool {
-        let longest = longest.unwrap_or(self.cfg.default_generation_time);
-        self.can_end(now, longest.min(caller_time_left))
+        let longest = longest.map_or(caller_time_left, |longest| longest.min(caller_time_left));
+        self.can_end(now, longest)
     }
 }
--- a/crates/cactusbarrow_policy/tests/shutdown.rs
+++ b/crates/cactusbarrow_policy/tests/shutdown.rs
@@ -17,11 +17,6 @@
     assert!(shutdown.can_end_generation(now, longest, CALLER_TIME));
     shutdown.begin(now);
     assert!(!shutdown.can_end_generation(now, longest, CALLER_TIME));
-    let is_admitted = shutdown.can_end_generation(now, None, CALLER_TIME);
-    assert!(
-        is_admitted,
-        "it is assumed to need 6 s of the remaining 7.7 s"
-    );
     let late = now + Duration::from_secs(7);
     let short = Some(Duration::from_millis(600));
     assert!(shutdown.can_end_generation(late, short, CALLER_TIME));
@@ -29,6 +24,18 @@
     assert!(is_admitted, "its caller gives up before the exit");
 }
 
+/// Load pattern: a host is stopped again right after its start, when its process has completed no generation.
+#[test]
+fn generation_of_unknown_duration_is_admitted_only_if_its_caller_gives_up_before_the_exit() {
+    let now = Instant::now();
+    let mut shutdown = Shutdown::new(ShutdownConfig::default(), GRACE);
+    assert!(shutdown.can_end_generation(now, None, CALLER_TIME));
+    shutdown.begin(now);
+    assert!(!shutdown.can_end_generation(now, None, CALLER_TIME));
+    assert!(!shutdown.can_end_generation(now, None, Duration::from_millis(7_800)));
+    assert!(shutdown.can_end_generation(now, None, Duration::from_millis(7_600)));
+}
+
 /// Guards against long generations that a stopping gateway admits and cuts at its exit (review/2).
 #[test]
 fn generation_that_the_exit_would_interrupt_is_not_admitted() {
--- a/tests/gateway_stops.rs
+++ b/tests/gateway_stops.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use cactusbarrow_adapter_standins::{
-    BackendStandin, CallerHead, StoreStandin, config_json, entry_json, settings_yaml,
+    BackendStandin, CallerHead, StoreStandin, config_json, entry_json, settings_yaml_with_grace,
 };
 use cactusbarrow_net::{Body, HttpClient, HttpVersion};
 use http_body_util::BodyExt;
@@ -17,6 +17,12 @@
 const KEY: &str = "key-of-stops";
 const BASE_PORT: u16 = 24_900;
 
+/// Grace period of a graceful stop.
+const GRACE: Duration = Duration::from_secs(4);
+
+/// Grace period of the deployments.
+const LONG_GRACE: Duration = Duration::from_secs(8);
+
 /// Time within which all streams have to begin.
 const START_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -37,8 +43,8 @@
 
 impl GatewayProcess {
     /// Starts a gateway at an address of the loopback network that no other test uses.
-    fn start(ip: &str, store: SocketAddr) -> Self {
-        let settings = settings_yaml("gateway", ip, BASE_PORT, ip, store);
+    fn start(ip: &str, store: SocketAddr, grace: Duration) -> Self {
+        let settings = settings_yaml_with_grace("gateway", ip, BASE_PORT, ip, store, grace);
         let file = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("gateway-{ip}.yaml"));
         std::fs::write(&file, settings).expect("a file can be written");
         let mut child = Command::new(env!("CARGO_BIN_EXE_cactusbarrowd"))
@@ -93,7 +99,7 @@
     for host in 10..20 {
         let store = store.addr();
         rounds.spawn_blocking(move || {
-            let mut gateway = GatewayProcess::start(&format!("127.0.91.{host}"), store);
+            let mut gateway = GatewayProcess::start(&format!("127.0.91.{host}"), store, GRACE);
             gateway.wait_for_line("gateway started");
             gateway.signal(Signal::HUP);
             gateway.signal(Signal::TERM);
@@ -117,7 +123,7 @@
         .expect("start an engine");
     let entry = entry_json("llm", engine.addr(), "zona-pa", "ready");
     store.put("servers/engine", &entry);
-    let mut gateway = GatewayProcess::start("127.0.91.2", store.addr());
+    let mut gateway = GatewayProcess::start("127.0.91.2", store.addr(), GRACE);
     gateway.wait_for_line("backend server listed");
     let mut callers = JoinSet::new();
     for i in 0..STREAMS {
@@ -160,3 +166,31 @@
     let last = log.lines().rfind(|line| line.contains("gateway stopped"));
     assert!(last.is_some(), "the log ends before the end");
 }
+
+/// Guards against generations that a gateway which has completed none admits in its stop, and cuts at its exit.
+#[tokio::test(flavor = "multi_thread")]
+async fn generation_of_unknown_duration_is_not_admitted_in_a_stop() {
+    let store = start_store().await;
+    let engine = BackendStandin::start("engine", 400, Duration::from_millis(25))
+        .await
+        .expect("start an engine");
+    let entry = entry_json("llm", engine.addr(), "zona-pa", "ready");
+    store.put("servers/engine", &entry);
+    let mut gateway = GatewayProcess::start("127.0.91.3", store.addr(), LONG_GRACE);
+    gateway.wait_for_line("backend server listed");
+    gateway.signal(Signal::TERM);
+    gateway.wait_for_line("leaving the load balancer's rotation");
+    let head = CallerHead {
+        request_id: "unknown-duration",
+        path: "/stream/a",
+        key: KEY,
+        deadline_ms: 25_000,
+        extra: &[],
+    };
+    let req = head.encode(gateway.callers, "POST", Body::full("the body"));
+    let http = HttpClient::new(HttpVersion::Http1);
+    let res = http.send("call", req).await.expect("a response");
+    assert_eq!(res.status(), 503);
+    assert!(res.headers().contains_key("retry-after"));
+    assert!(engine.runs().is_empty(), "the generation was sent on");
+}
