--- a/examples/soak/environment.rs
+++ b/examples/soak/environment.rs
@@ -343,6 +343,11 @@
         }
     }
 
+    /// Returns whether the engines run generations of different lengths.
+    pub(crate) fn has_pace(&self) -> bool {
+        lock(&self.pace).is_some()
+    }
+
     /// Kills an instance.
     pub(crate) fn kill(&self, index: usize) {
         lock(&self.backends[index]).standin.kill();
--- a/tools/ci/experiments.sh
+++ b/tools/ci/experiments.sh
@@ -29,4 +29,5 @@
         fi
     fi
 done < <(grep -v '^#' tools/ci/soak_seeds.txt)
+cargo run --locked --quiet --release --example soak -- --scenarios stops --injectors 0 --seed 36 --seconds 16
 echo "experiments: $passed passed, 0 failed"
