Take no response whose framing is unknown for a whole one

Callers got a 200 with the chunk signs or the coded bytes of a body as its content, framed as whole, when a backend server named another transfer coding than chunks, and a final 101 when it switched protocols: the HTTP client decodes the last coding that it knows and reads to the end of the connection otherwise, and the gateway did not look at the head.

BodyFraming tells how the end of a body is told, and clients of HTTP/1.1 reject a response that leaves it open: the call then broke off, so it goes to another backend server if it may be repeated, and is answered 502 otherwise.

--- a/crates/cactusbarrow_gateway/src/backend_connection.rs
+++ b/crates/cactusbarrow_gateway/src/backend_connection.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use cactusbarrow_adapter::{EngineResponse, REQUEST_ID};
-use cactusbarrow_net::{Body, NetError};
+use cactusbarrow_net::{Body, BodyFraming, NetError};
 use cactusbarrow_policy::LossCause;
 use http::{Request, response};
 use hyper::body::Incoming;
@@ -110,6 +110,7 @@
         req: Request<Body>,
     ) -> Result<StreamingResponse, NetError> {
         let has_id = req.headers().contains_key(REQUEST_ID);
+        let method = req.method().clone();
         let result = self.sender.send_request(req).await;
         let res = result.map_err(|e| NetError::new(step, self.peer, e))?;
         // Nothing in a response that names a request may be believed where none was named.
@@ -119,6 +120,7 @@
             return Err(NetError::new(step, self.peer, message));
         }
         let (head, body) = res.into_parts();
+        BodyFraming::of_response(&method, &head).map_err(|e| NetError::new(step, self.peer, e))?;
         Ok(StreamingResponse {
             head,
             body,
--- /dev/null
+++ b/crates/cactusbarrow_net/src/framing.rs
@@ -0,0 +1,59 @@
+//! Framing of a response: how its receiver is told where its body ends.
+
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::{HeaderMap, Method, StatusCode, Version, response};
+
+/// How the end of a response's body is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyFraming {
+    /// The response states it, by a length, a last chunk, the end of its HTTP/2 stream, or because it has no body.
+    Stated,
+    /// The body ends with its connection, so that a sender that stops early is not told from one that is done.
+    ConnectionEnd,
+}
+
+/// Why the end of a response's body is not known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum FramingError {
+    /// An interim response took the place of the final one.
+    #[error("response ends with the interim status {0}")]
+    Interim(StatusCode),
+    /// The body has another transfer coding than chunks.
+    #[error("response has an unknown transfer coding")]
+    UnknownCoding,
+}
+
+impl BodyFraming {
+    /// Determines the framing of the response to a request with this method.
+    ///
+    /// The HTTP client has parsed the response, so a length that is present is valid and not beside chunks.
+    pub fn of_response(method: &Method, head: &response::Parts) -> Result<Self, FramingError> {
+        if head.status.is_informational() {
+            return Err(FramingError::Interim(head.status));
+        }
+        let has_body = *method != Method::HEAD
+            && !matches!(
+                head.status,
+                StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+            );
+        if !has_body || head.version >= Version::HTTP_2 {
+            return Ok(Self::Stated);
+        }
+        let is_stated = is_chunked(&head.headers)? || head.headers.contains_key(CONTENT_LENGTH);
+        Ok(if is_stated {
+            Self::Stated
+        } else {
+            Self::ConnectionEnd
+        })
+    }
+}
+
+/// Returns whether chunks are the only transfer coding; fails if there is any other.
+fn is_chunked(headers: &HeaderMap) -> Result<bool, FramingError> {
+    let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
+    match (codings.next(), codings.next()) {
+        (None, _) => Ok(false),
+        (Some(coding), None) if coding.as_bytes().eq_ignore_ascii_case(b"chunked") => Ok(true),
+        (Some(_), _) => Err(FramingError::UnknownCoding),
+    }
+}
--- a/crates/cactusbarrow_net/src/http_client.rs
+++ b/crates/cactusbarrow_net/src/http_client.rs
@@ -10,7 +10,7 @@
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 
 use crate::body::collect_limited;
-use crate::{Body, NetError};
+use crate::{Body, BodyFraming, NetError};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(5);
@@ -67,16 +67,23 @@
     }
 
     /// Sends a request and returns the response once its head arrives, with the body unread.
+    ///
+    /// Fails if the head leaves open where the body ends.
     pub async fn send(
         &self,
         step: &'static str,
         req: Request<Body>,
     ) -> Result<Response<Incoming>, NetError> {
         let peer = peer_of(&req);
-        self.client.request(req).await.map_err(|e| NetError {
+        let method = req.method().clone();
+        let sent = self.client.request(req).await;
+        let res = sent.map_err(|e| NetError {
             is_connect: e.is_connect(),
-            ..NetError::new(step, peer, format_error_chain(&e))
-        })
+            ..NetError::new(step, &peer, format_error_chain(&e))
+        })?;
+        let (head, body) = res.into_parts();
+        BodyFraming::of_response(&method, &head).map_err(|e| NetError::new(step, peer, e))?;
+        Ok(Response::from_parts(head, body))
     }
 
     /// Sends a request and reads the whole response, with separate time-outs for head and body.
