State no length of a response whose server stated none

Callers got a 200 with a length when a backend server's response had neither a length nor chunks and its connection was closed in order, also right after the head, so that a response that stopped early looked whole. The gateway collects the body and sent it as a whole one.

One whose connection is reset was answered 502 before and is now.

Streams keep their chunks: only these show a stream that breaks off.

--- a/crates/cactusbarrow_gateway/src/backend_connection.rs
+++ b/crates/cactusbarrow_gateway/src/backend_connection.rs
@@ -31,6 +31,7 @@
 pub(crate) struct StreamingResponse {
     pub(crate) head: response::Parts,
     pub(crate) body: Incoming,
+    pub(crate) framing: BodyFraming,
     /// Task that drives the connection; closes it when dropped.
     driver: AbortOnDropHandle<()>,
 }
@@ -120,10 +121,12 @@
             return Err(NetError::new(step, self.peer, message));
         }
         let (head, body) = res.into_parts();
-        BodyFraming::of_response(&method, &head).map_err(|e| NetError::new(step, self.peer, e))?;
+        let framing = BodyFraming::of_response(&method, &head)
+            .map_err(|e| NetError::new(step, self.peer, e))?;
         Ok(StreamingResponse {
             head,
             body,
+            framing,
             driver: self.driver,
         })
     }
--- a/crates/cactusbarrow_gateway/src/call.rs
+++ b/crates/cactusbarrow_gateway/src/call.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use cactusbarrow_adapter::{EngineRequest, EngineResponse, decode_engine_response};
-use cactusbarrow_net::{Body, Clock, collect_limited};
+use cactusbarrow_net::{Body, BodyFraming, Clock, collect_limited, unframed_response};
 use cactusbarrow_policy::{
     BackendEntry, BackendKey, CallAction, CallEvent, CallPlan, LossCause, Outcome, Reason,
     RequestParts,
@@ -40,6 +40,7 @@
 struct CallResponse {
     head: EngineResponse,
     body: Bytes,
+    framing: BodyFraming,
     /// Instance that responded.
     instance: Arc<str>,
 }
@@ -74,7 +75,7 @@
         }
     };
     let res = match result {
-        Ok(Ok(response)) => deliver(&req, response),
+        Ok(Ok(response)) => deliver(&req, response).await,
         Ok(Err(refusal)) => refuse(&req, &refusal),
         Err(_) => refuse(&req, &plan_refusal(&req, &plan, Reason::RouteTimeout)),
     };
@@ -184,11 +185,12 @@
     }
     let exchange = async {
         let response = conn.send("send call", encode(req, entry)).await?;
+        let framing = response.framing;
         let (head, body, _driver) = response.into_parts();
         let head = decode_engine_response(head, &req.caller.request_id);
         shared.record_notice(entry, head.notice, sent_at);
         let body = collect_limited(body, MAX_RESPONSE_BYTES, &req.caller.request_id).await?;
-        Ok::<_, cactusbarrow_net::NetError>((head, body))
+        Ok::<_, cactusbarrow_net::NetError>((head, body.map(|body| (body, framing))))
     };
     let result = tokio::select! {
         // A response that has arrived is handled before a stall.
@@ -242,7 +244,7 @@
     req: &AdmittedRequest<C>,
     (key, entry): (BackendKey, &BackendEntry),
     head: EngineResponse,
-    body: Option<Bytes>,
+    body: Option<(Bytes, BodyFraming)>,
 ) -> (CallEvent, Option<CallResponse>) {
     if !head.is_matching {
         log_foreign_response(&req.caller.request_id, &head);
@@ -255,7 +257,7 @@
     if head.is_not_executed {
         return (CallEvent::NotExecuted, None);
     }
-    let Some(body) = body else {
+    let Some((body, framing)) = body else {
         return (CallEvent::Broken, None);
     };
     if head.is_encoded || (head.status.is_success() && !head.is_signed) {
@@ -266,6 +268,7 @@
     let response = CallResponse {
         head,
         body,
+        framing,
         instance: entry.instance.clone(),
     };
     (CallEvent::Responded { is_failure }, Some(response))
@@ -366,7 +369,7 @@
     }
 }
 
-fn deliver<C: Clock>(req: &AdmittedRequest<C>, response: CallResponse) -> Response<Body> {
+async fn deliver<C: Clock>(req: &AdmittedRequest<C>, response: CallResponse) -> Response<Body> {
     log::info!(
         request_id = req.caller.request_id.as_str(),
         kind = req.kind.name(),
@@ -376,9 +379,13 @@
         elapsed_ms = elapsed_ms(req, req.arrived);
         "call answered"
     );
-    let mut res = Response::new(Body::full(response.body));
+    // The caller is told no end that the backend server did not state.
+    let mut res = match response.framing {
+        BodyFraming::Stated => Response::new(Body::full(response.body)),
+        BodyFraming::ConnectionEnd => unframed_response(response.body).await,
+    };
     *res.status_mut() = response.head.status;
-    *res.headers_mut() = response.head.headers;
+    res.headers_mut().extend(response.head.headers);
     res
 }
 
--- a/crates/cactusbarrow_gateway/tests/cut_heads.rs
+++ b/crates/cactusbarrow_gateway/tests/cut_heads.rs
@@ -145,15 +145,17 @@
 enum Expected {
     /// The body, which states its end.
     Whole(&'static str),
+    /// The body, whose end the gateway does not state either.
+    Unframed(&'static str),
     /// A failure.
     Failure,
 }
 
-use Expected::{Failure, Whole};
+use Expected::{Failure, Unframed, Whole};
 
 /// Framing of responses with the status 200, their bytes after the head, and what callers get if the connection
 /// is closed and if it is reset.
-const FRAMINGS: [(&str, &str, Expected, Expected); 37] = [
+const FRAMINGS: [(&str, &str, Expected, Expected); 39] = [
     (
         "content-length: 4\r\n",
         "done",
@@ -293,6 +295,9 @@
         Failure,
         Failure,
     ),
+    // The end of the connection delimits the body, unless it is reset.
+    ("", "done", Unframed("done"), Failure),
+    ("", "", Unframed(""), Failure),
 ];
 
 /// Sends an unrepeatable call to a server that answers with these bytes.
@@ -321,6 +326,11 @@
                     && is_framed_whole(&response)
                     && body.as_deref() == Some(text)
             }
+            Unframed(text) => {
+                response.status() == 200
+                    && !is_framed_whole(&response)
+                    && body.as_deref() == Some(text)
+            }
             Failure => response.status() == 502,
         };
     let status = response.status();
@@ -347,7 +357,7 @@
 }
 
 /// Head lines of HTTP versions and statuses that end a response otherwise.
-const STATUS_LINES: [(&str, &str, &str, Expected); 7] = [
+const STATUS_LINES: [(&str, &str, &str, Expected); 8] = [
     (
         "HTTP/1.0 200 OK",
         "content-length: 4\r\n",
@@ -355,6 +365,7 @@
         Whole("done"),
     ),
     ("HTTP/1.0 200 OK", "content-length: 40\r\n", "done", Failure),
+    ("HTTP/1.0 200 OK", "", "done", Unframed("done")),
     (
         "HTTP/1.0 200 OK",
         "transfer-encoding: chunked\r\n",
--- a/crates/cactusbarrow_net/src/framing.rs
+++ b/crates/cactusbarrow_net/src/framing.rs
@@ -1,7 +1,9 @@
 //! Framing of a response: how its receiver is told where its body ends.
 
-use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use http::{HeaderMap, Method, StatusCode, Version, response};
+use http::header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::{HeaderMap, HeaderValue, Method, Response, StatusCode, Version, response};
+
+use crate::Body;
 
 /// How the end of a response's body is told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -57,3 +59,17 @@
         (Some(_), _) => Err(FramingError::UnknownCoding),
     }
 }
+
+/// Creates a response that states no end of its body, which ends with its connection.
+pub async fn unframed_response(body: bytes::Bytes) -> Response<Body> {
+    let (tx, streamed) = Body::channel();
+    // The receiver is held here, and its buffer is empty.
+    let _ = tx.send(body).await;
+    tx.finish();
+    let mut res = Response::new(streamed);
+    // Responses of HTTP/1.1 without a length have chunks, whose last one states the end.
+    *res.version_mut() = Version::HTTP_10;
+    let close = HeaderValue::from_static("close");
+    res.headers_mut().insert(CONNECTION, close);
+    res
+}
--- a/crates/cactusbarrow_net/src/lib.rs
+++ b/crates/cactusbarrow_net/src/lib.rs
@@ -28,7 +28,7 @@
 pub use control_server::{ControlHandler, ControlServer};
 pub use error::NetError;
 pub use event_splitter::{EventSplitter, RawEvent};
-pub use framing::{BodyFraming, FramingError};
+pub use framing::{BodyFraming, FramingError, unframed_response};
 pub use http_client::{HttpClient, HttpVersion};
 pub use linger::Linger;
 pub use request_body::{RequestBody, UnreadBody};
