Hold that clients reject responses without a known end

Agents reach their services with the HTTP client, whose handling of cut heads no test held. The three cases with another transfer coding or a final 101 guard BodyFraming; that they failed before was not run here, only at the gateway.

--- a/crates/cactusbarrow_net/tests/http_client.rs
+++ b/crates/cactusbarrow_net/tests/http_client.rs
@@ -61,3 +61,34 @@
         tokio::time::sleep(PAUSE).await;
     }
 }
+
+/// Heads and bodies of responses that leave open where the body ends, or end before it.
+const BROKEN_RESPONSES: [&str; 8] = [
+    "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n",
+    "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 4",
+    "HTTP/1.1 101 Switching Protocols\r\nconnection: upgrade\r\nupgrade: x\r\n\r\ndone",
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip, chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n\r\ndone",
+    "HTTP/1.1 200 OK\r\ncontent-length: 4\r\ncontent-length: 2\r\n\r\ndone",
+    "HTTP/1.1 200 OK\r\ncontent-length: 40\r\n\r\ndone",
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n",
+];
+
+#[tokio::test]
+async fn response_without_a_known_end_is_an_error() {
+    for response in BROKEN_RESPONSES {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("bind");
+        let addr = listener.local_addr().expect("an address");
+        tokio::spawn(async move {
+            let (mut conn, _) = listener.accept().await.expect("a connection");
+            if read_head(&mut conn).await {
+                conn.write_all(response.as_bytes()).await.expect("a client");
+            }
+        });
+        let http = HttpClient::with_connection_per_request();
+        let mut req = Request::new(Body::Empty);
+        *req.uri_mut() = format!("http://{addr}/").parse().expect("a URI");
+        let sent = http.send_and_collect("call", req, PAUSE * 100, 1 << 10);
+        assert!(sent.await.is_err(), "{response:?}");
+    }
+}
