--- /dev/null
+++ b/crates/cactusbarrow_net/src/framing.rs
@@ -0,0 +1,75 @@
+//! Framing of a response: how its receiver is told where its body ends.
+
+use http::header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::{HeaderMap, HeaderValue, Method, Response, StatusCode, Version, response};
+
+use crate::Body;
+
+/// How the end of a response's body is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyFraming {
+    /// The response states it, by a length, a last chunk, the end of its HTTP/2 stream, or because it has no body.
+    Stated,
+    /// The body ends with its connection, so that a sender that stops early is not told from one that is done.
+    ConnectionEnd,
+}
+
+/// Why the end of a response's body is not known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum FramingError {
+    /// An interim response took the place of the final one.
+    #[error("response ends with the interim status {0}")]
+    Interim(StatusCode),
+    /// The body has another transfer coding than chunks.
+    #[error("response has an unknown transfer coding")]
+    UnknownCoding,
+}
+
+impl BodyFraming {
+    /// Determines the framing of the response to a request with this method.
+    ///
+    /// The HTTP client has parsed the response, so a length that is present is valid and not beside chunks.
+    pub fn of_response(method: &Method, head: &response::Parts) -> Result<Self, FramingError> {
+        if head.status.is_informational() {
+            return Err(FramingError::Interim(head.status));
+        }
+        let has_body = *method != Method::HEAD
+            && !matches!(
+                head.status,
+                StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+            );
+        if !has_body || head.version >= Version::HTTP_2 {
+            return Ok(Self::Stated);
+        }
+        let is_stated = is_chunked(&head.headers)? || head.headers.contains_key(CONTENT_LENGTH);
+        Ok(if is_stated {
+            Self::Stated
+        } else {
+            Self::ConnectionEnd
+        })
+    }
+}
+
+/// Returns whether chunks are the only transfer coding; fails if there is any other.
+fn is_chunked(headers: &HeaderMap) -> Result<bool, FramingError> {
+    let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
+    match (codings.next(), codings.next()) {
+        (None, _) => Ok(false),
+        (Some(coding), None) if coding.as_bytes().eq_ignore_ascii_case(b"chunked") => Ok(true),
+        (Some(_), _) => Err(FramingError::UnknownCoding),
+    }
+}
+
+/// Creates a response that states no end of its body, which ends with its connection.
+pub async fn unframed_response(body: bytes::Bytes) -> Response<Body> {
+    let (tx, streamed) = Body::channel();
+    // The receiver is held here, and its buffer is empty.
+    let _ = tx.send(body).await;
+    tx.finish();
+    let mut res = Response::new(streamed);
+    // Responses of HTTP/1.1 without a length have chunks, whose last one states the end.
+    *res.version_mut() = Version::HTTP_10;
+    let close = HeaderValue::from_static("close");
+    res.headers_mut().insert(CONNECTION, close);
+    res
+}
