Read pages of origins anew for each caller that resumes a stream

Callers whose stream had begun at a version that had just joined were continued by another version, at a gateway that had read the pages of all gateways less than 200 ms before: the pages of that time did not name the version, and the gateway did not list it yet.

A read now serves only callers that asked before it began. The gateway that begins a stream has its version in the store by then, so such a read shows it, whatever the gateway lists and however long the process stood still. Reads begin at least 200 ms apart as before, and a failed one counts for as long.

--- a/crates/cactusbarrow_gateway/src/origin_store.rs
+++ b/crates/cactusbarrow_gateway/src/origin_store.rs
@@ -3,6 +3,7 @@
 use std::collections::HashSet;
 use std::net::IpAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -34,21 +35,50 @@
 /// replace a newer page.
 const LATE_WRITE_TIME: Duration = Duration::from_secs(5);
 
-/// Start of the last read of all pages, or its end if it failed, and the versions that they tell. It stays locked
-/// during a read, so that other callers wait for its result.
-pub(crate) type LastRead = tokio::sync::Mutex<Option<(Instant, Option<ServedVersions>)>>;
+/// Reads of all pages, of which one is in progress at a time.
+#[derive(Debug, Default)]
+pub(crate) struct PageReads {
+    /// Number of reads that have begun.
+    begun: AtomicU64,
+    /// Stays locked during a read, so that other callers wait for its result or the next one.
+    last: tokio::sync::Mutex<Option<LastRead>>,
+}
+
+#[derive(Debug)]
+struct LastRead {
+    /// Number of reads that had begun, with this one.
+    number: u64,
+    /// Start of the read, or its end if it failed.
+    at: Instant,
+    /// Versions that the pages tell; `None` if they could not be read.
+    served: Option<ServedVersions>,
+}
+
+impl LastRead {
+    /// Returns the time for which another read is not to begin.
+    fn wait(&self, now: Instant) -> Duration {
+        READ_INTERVAL.saturating_sub(now.saturating_duration_since(self.at))
+    }
+}
 
-/// Reads the pages of all gateways, unless the last read was just now.
+/// Reads the pages of all gateways, by a read that begins after this call: a stream that is resumed may have begun
+/// just before at a version that no page named then. Calls beside each other share a read.
 ///
-/// Returns the versions at which gateways may have begun streams; `None` if the store could not be read.
+/// Returns the versions at which gateways may have begun streams; `None` if the store could not be read now or
+/// just before.
 pub(crate) async fn read_pages<C: Clock>(shared: &Shared<C>) -> Option<ServedVersions> {
-    let mut last_read = shared.last_origin_read().lock().await;
-    let now = shared.now();
-    if let Some((at, served)) = &*last_read
-        && now.saturating_duration_since(*at) < READ_INTERVAL
-    {
-        return served.clone();
+    let reads = shared.page_reads();
+    let begun_before = reads.begun.load(Ordering::Relaxed);
+    let mut last_read = reads.last.lock().await;
+    if let Some(last) = &*last_read {
+        let wait = last.wait(shared.now());
+        if last.number > begun_before || (last.served.is_none() && !wait.is_zero()) {
+            return last.served.clone();
+        }
+        tokio::time::sleep(wait).await;
     }
+    let number = reads.begun.fetch_add(1, Ordering::Relaxed) + 1;
+    let now = shared.now();
     metrics::counter!("gateway_store_calls_total").increment(1);
     let known_era = shared.servers_position().era;
     let result = shared.store().read_all(PAGES_PREFIX, known_era).await;
@@ -74,7 +104,11 @@
     };
     // Callers that waited for a read that failed do not repeat it one after another.
     let at = if result.is_ok() { now } else { shared.now() };
-    *last_read = Some((at, served.clone()));
+    *last_read = Some(LastRead {
+        number,
+        at,
+        served: served.clone(),
+    });
     served
 }
 
--- a/crates/cactusbarrow_gateway/src/shared.rs
+++ b/crates/cactusbarrow_gateway/src/shared.rs
@@ -23,7 +23,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::origin_exchange::OriginSearches;
-use crate::origin_store::LastRead;
+use crate::origin_store::PageReads;
 use crate::peer_knowledge::{MAX_CONFIG_TRANSFERS, MAX_LIST_TRANSFERS};
 use crate::peers::LoadChangeSignal;
 use crate::prompt_search::LastSearch;
@@ -176,7 +176,7 @@
     origin_pages: Mutex<OriginPages>,
     /// Wakes the writer of origins.
     origin_change: Notify,
-    last_origin_read: LastRead,
+    page_reads: PageReads,
     versions: Mutex<VersionHistory>,
     /// Number of times that the store was found to hold further versions.
     stored_versions: watch::Sender<u64>,
@@ -248,7 +248,7 @@
             origins: Mutex::new(StreamOrigins::new(OriginConfig::default())),
             origin_pages: Mutex::new(OriginPages::new(OriginConfig::default())),
             origin_change: Notify::new(),
-            last_origin_read: LastRead::default(),
+            page_reads: PageReads::default(),
             versions: Mutex::new(VersionHistory::new(OriginConfig::default().retention)),
             stored_versions: watch::Sender::default(),
             unstored_origins: Mutex::default(),
@@ -370,8 +370,8 @@
         &self.origin_change
     }
 
-    pub(crate) fn last_origin_read(&self) -> &LastRead {
-        &self.last_origin_read
+    pub(crate) fn page_reads(&self) -> &PageReads {
+        &self.page_reads
     }
 
     /// Returns the software versions that were listed recently.
--- a/crates/cactusbarrow_gateway/tests/common/cut_proxy.rs
+++ b/crates/cactusbarrow_gateway/tests/common/cut_proxy.rs
@@ -12,6 +12,8 @@
 pub(crate) struct CutProxy {
     addr: SocketAddr,
     is_cut: watch::Sender<bool>,
+    /// Number of times that all connections of the time were stalled.
+    stalls: watch::Sender<u64>,
     forwarded: Arc<AtomicUsize>,
 }
 
@@ -23,14 +25,21 @@
         let proxy = Self {
             addr: listener.local_addr().expect("the address of the proxy"),
             is_cut: watch::Sender::new(false),
+            stalls: watch::Sender::default(),
             forwarded: Arc::default(),
         };
         let (is_cut, forwarded) = (proxy.is_cut.clone(), proxy.forwarded.clone());
+        let stalls = proxy.stalls.clone();
         tokio::spawn(async move {
             while let Ok((conn, _)) = listener.accept().await {
                 if !*is_cut.borrow() {
                     forwarded.fetch_add(1, Ordering::Relaxed);
-                    tokio::spawn(forward(conn, target, is_cut.subscribe()));
+                    tokio::spawn(forward(
+                        conn,
+                        target,
+                        is_cut.subscribe(),
+                        stalls.subscribe(),
+                    ));
                 }
             }
         });
@@ -46,18 +55,33 @@
         self.is_cut.send_replace(is_cut);
     }
 
+    /// Keeps all present connections open without forwarding any more bytes; later ones are sound.
+    pub(crate) fn stall_connections(&self) {
+        self.stalls.send_modify(|stalls| *stalls += 1);
+    }
+
     /// Returns the number of connections that were forwarded so far.
     pub(crate) fn forwarded(&self) -> usize {
         self.forwarded.load(Ordering::Relaxed)
     }
 }
 
-async fn forward(mut conn: TcpStream, target: SocketAddr, mut is_cut: watch::Receiver<bool>) {
+async fn forward(
+    mut conn: TcpStream,
+    target: SocketAddr,
+    mut is_cut: watch::Receiver<bool>,
+    mut stalls: watch::Receiver<u64>,
+) {
     let Ok(mut target) = TcpStream::connect(target).await else {
         return;
     };
-    tokio::select! {
-        _ = copy_bidirectional(&mut conn, &mut target) => {}
-        _ = is_cut.wait_for(|is_cut| *is_cut) => {}
+    let stalled = tokio::select! {
+        _ = copy_bidirectional(&mut conn, &mut target) => return,
+        _ = is_cut.wait_for(|is_cut| *is_cut) => return,
+        stalled = stalls.changed() => stalled,
+    };
+    if stalled.is_ok() {
+        // The connections are open until this returns.
+        drop(is_cut.wait_for(|is_cut| *is_cut).await);
     }
 }
--- /dev/null
+++ b/crates/cactusbarrow_gateway/tests/versions_joining.rs
@@ -0,0 +1,163 @@
+//! Guards against streams of a version that has just joined, which go on at another version where it is not known.
+
+mod common;
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cactusbarrow_adapter_standins::CallerHead;
+use common::cut_proxy::CutProxy;
+use common::streams::{begin_stream, writers};
+use common::{
+    CallerResponse, EVENTS, Gateway, KillableGateway, TestCluster, caller_head, eventually,
+    free_ports,
+};
+
+const EVENT_INTERVAL: Duration = Duration::from_millis(5);
+
+/// Time after which gateways know one another and have written their pages.
+const MEETING_TIME: Duration = Duration::from_millis(1_000);
+
+/// Time after which a gateway waits for changes again, on a connection that has just been opened.
+const RECOVERY_TIME: Duration = Duration::from_millis(100);
+
+/// Number of backend servers before the new version joins: two engines and two plain ones.
+const BACKENDS: usize = 4;
+
+/// Index of the engine of the new version.
+const NEW: usize = 2;
+
+/// Two gateways, of which the second one falls out of step, and an engine of a new version without an entry.
+struct Release {
+    cluster: TestCluster,
+    in_step: KillableGateway,
+    out_of_step: KillableGateway,
+    /// Link of the second gateway to the store.
+    link: CutProxy,
+}
+
+impl Release {
+    async fn start(are_peers: bool) -> Self {
+        let cluster = TestCluster::start_with_software(&["v1", "v1", "v2"], EVENT_INTERVAL).await;
+        cluster.store.delete("servers/engine-2");
+        let link = CutProxy::start(cluster.store.addr()).await;
+        let base = free_ports("127.0.0.1");
+        let (first, second) = ("127.0.0.1", "127.0.0.2");
+        let seeds = if are_peers {
+            (second, first)
+        } else {
+            (first, second)
+        };
+        let store = cluster.store.addr();
+        let in_step = KillableGateway::start(first, base, seeds.0, store).await;
+        let out_of_step = KillableGateway::start(second, base, seeds.1, link.addr()).await;
+        tokio::time::sleep(MEETING_TIME).await;
+        Self {
+            cluster,
+            in_step,
+            out_of_step,
+            link,
+        }
+    }
+
+    /// Stalls the watch of the second gateway; its next calls to the store succeed.
+    async fn stall_watch(&self) {
+        self.link.set_cut(true);
+        tokio::time::sleep(RECOVERY_TIME).await;
+        let forwarded = self.link.forwarded();
+        self.link.set_cut(false);
+        eventually("the watch is back", || self.link.forwarded() > forwarded).await;
+        tokio::time::sleep(RECOVERY_TIME).await;
+        self.link.stall_connections();
+    }
+
+    /// Has the new version join, and a stream begin at it; returns the last event that its caller has.
+    async fn begin_at_new(&self) -> u64 {
+        self.cluster
+            .put_entry(&self.cluster.engines[NEW], "llm", "zona-pa", "ready");
+        let first = &self.in_step.gateway;
+        eventually("the new version is listed", || {
+            first.handle.status().backends > BACKENDS
+        })
+        .await;
+        begin_stream(&self.cluster, first, "begun", "v2").await
+    }
+
+    /// Takes the stream up at the gateway that is out of step, by a caller that names it and one that does not.
+    async fn assert_not_mixed(&self, last_event: u64) {
+        for resumes in [None, Some("begun")] {
+            let id = format!("again-{}", resumes.unwrap_or("unnamed"));
+            let response = resume(&self.out_of_step.gateway, &id, resumes, last_event).await;
+            self.assert_refused_or_new(&id, &response);
+        }
+    }
+
+    fn assert_refused_or_new(&self, id: &str, response: &CallerResponse) {
+        if response.status() == 200 {
+            assert_eq!(writers(response), BTreeSet::from(["v2"]), "{id}");
+        } else {
+            let ran = self.cluster.run_count(id);
+            assert_eq!((response.status(), ran), (503, 0), "{id}");
+        }
+    }
+}
+
+/// Sends the request of a caller that resumes a stream after `last_event`, which it need not name.
+async fn resume(
+    gateway: &Gateway,
+    id: &str,
+    resumes: Option<&str>,
+    last_event: u64,
+) -> CallerResponse {
+    let last_event = last_event.to_string();
+    let mut extra = vec![("last-event-id", &*last_event)];
+    extra.extend(resumes.map(|resumes| ("resumes", resumes)));
+    let head = CallerHead {
+        extra: &extra,
+        ..caller_head(id, "/stream/1")
+    };
+    gateway.call(&head, "POST").await
+}
+
+/// Load pattern: the watch stalls while other calls to the store succeed, and the pages were just read.
+#[tokio::test]
+async fn pages_that_were_read_before_a_version_joined_prove_nothing() {
+    let release = Release::start(false).await;
+    release.stall_watch().await;
+    let second = &release.out_of_step.gateway;
+    let response = resume(second, "other", None, EVENTS - 1).await;
+    assert_eq!(response.event_ids(), [EVENTS], "the pages are read");
+    let last_event = release.begin_at_new().await;
+    release.assert_not_mixed(last_event).await;
+}
+
+async fn assert_not_mixed_after(cut: impl AsyncFnOnce(&Release), are_peers: bool) {
+    let release = Release::start(are_peers).await;
+    cut(&release).await;
+    let last_event = release.begin_at_new().await;
+    release.assert_not_mixed(last_event).await;
+}
+
+#[tokio::test]
+async fn gateway_that_is_cut_from_the_store_or_its_peers_joins_no_versions() {
+    for are_peers in [true, false] {
+        assert_not_mixed_after(async |release| release.link.set_cut(true), are_peers).await;
+        assert_not_mixed_after(async |release| release.link.stall_connections(), are_peers).await;
+        assert_not_mixed_after(async |_| {}, are_peers).await;
+    }
+}
+
+async fn start_next(store: SocketAddr) -> KillableGateway {
+    let ip = "127.0.0.4";
+    KillableGateway::start(ip, free_ports(ip), ip, store).await
+}
+
+#[tokio::test]
+async fn gateway_that_starts_while_a_version_joins_continues_at_no_other() {
+    let mut release = Release::start(false).await;
+    let store = release.cluster.store.addr();
+    let (next, last_event) = tokio::join!(start_next(store), release.begin_at_new());
+    release.out_of_step = next;
+    release.assert_not_mixed(last_event).await;
+}
