Take a page of origins that states no time for damaged

A caller whose stream had begun at a version that came and went was continued by another version, by a gateway that had just started: another writer had emptied the page that named the version. No bytes decode to a page without a time, which counted as expired, so the pages of the other gateways passed for complete.

Such a page is now no proof, as one that cannot be decoded, and a gateway that starts on one does not state to know the versions of its earlier incarnation for a minute. Pages of releases that stated no time are refused as a proof, too, until their gateways have written them again.

--- a/crates/cactusbarrow_gateway/src/origin_store.rs
+++ b/crates/cactusbarrow_gateway/src/origin_store.rs
@@ -90,9 +90,7 @@
                 record_origins(shared, page);
             }
             let served = pages.iter().map(Option::as_ref);
-            let served: Vec<_> = served
-                .map(|page| page.map(|page| served_page(shared, page)))
-                .collect();
+            let served: Vec<_> = served.map(|page| served_page(shared, page?)).collect();
             let retention = OriginConfig::default().retention;
             let era = snapshot.position.era;
             Some(ServedVersions::collect(&served, era, retention))
@@ -112,17 +110,17 @@
     served
 }
 
-/// Returns what a page tells about the versions that its gateway served; one of an earlier release states no
-/// time, so it counts as expired.
-fn served_page<C: Clock>(shared: &Shared<C>, page: &StreamOriginPage) -> ServedPage {
+/// Returns what a page tells about the versions that its gateway served; `None` for one that states no time, since
+/// another writer has cut it short, or an earlier release wrote it.
+fn served_page<C: Clock>(shared: &Shared<C>, page: &StreamOriginPage) -> Option<ServedPage> {
     let written_at = Duration::from_millis(page.unix_ms);
-    ServedPage {
+    (page.unix_ms > 0).then(|| ServedPage {
         served: page.served.iter().copied().map(version_from_wire).collect(),
         age: shared.unix_time().saturating_sub(written_at),
         is_complete: !page.is_incomplete,
         era: StoreEra(page.store_era),
         era_age: Duration::from_millis(page.era_age_ms),
-    }
+    })
 }
 
 /// Records the origins on a page; returns whether the item is a page.
@@ -208,11 +206,14 @@
 /// Records the versions that an earlier incarnation of this gateway served, so that the next write of the page
 /// names them.
 fn record_served<C: Clock>(shared: &Shared<C>, page: &StreamOriginPage, era: StoreEra) {
-    let served = served_page(shared, page);
+    let now = shared.now();
+    let Some(served) = served_page(shared, page) else {
+        shared.versions().record_unknown(now);
+        return;
+    };
     if served.age >= ServedVersions::PAGE_EXPIRY {
         return;
     }
-    let now = shared.now();
     // The store has returned to a copy since, which may lack a newer page.
     if !served.is_complete || served.era != era {
         shared.versions().record_unknown(now);
--- a/crates/cactusbarrow_gateway/tests/versions_joining.rs
+++ b/crates/cactusbarrow_gateway/tests/versions_joining.rs
@@ -161,3 +161,33 @@
     release.out_of_step = next;
     release.assert_not_mixed(last_event).await;
 }
+
+/// Has a stream begin at a version that joins and leaves, and all gateways end; takes it up at one that starts then.
+///
+/// `before` comes before the version joins, and `after` before the next gateway starts.
+async fn assert_not_mixed_by_next(
+    before: impl AsyncFnOnce(&Release),
+    after: impl FnOnce(&TestCluster),
+) {
+    let mut release = Release::start(false).await;
+    // Otherwise its page names the new version, too.
+    release.link.set_cut(true);
+    before(&release).await;
+    let last_event = release.begin_at_new().await;
+    tokio::time::sleep(MEETING_TIME).await;
+    let store = release.cluster.store.addr();
+    release.cluster.store.delete("servers/engine-2");
+    after(&release.cluster);
+    release.out_of_step = start_next(store).await;
+    release.assert_not_mixed(last_event).await;
+}
+
+/// Load pattern: another writer damages the page.
+#[tokio::test]
+async fn page_that_was_cut_short_proves_nothing() {
+    // A page that is cut short may decode, too: here, one group without fields.
+    for value in ["", "\n\0", "not a page"] {
+        let damage = |cluster: &TestCluster| cluster.store.put("streams/127.0.0.1/0", value);
+        assert_not_mixed_by_next(async |_| {}, damage).await;
+    }
+}
