Replace a page of origins only if it is the one that is known

A caller whose stream had begun at a version that came and went was continued by another version, by a gateway that had just started: a write that the store had not answered was executed seconds later, and replaced a newer page that named the version. The page was repeated only 5 s after the failure.

Writes of pages now state the revision that they replace. A write that was given up can no longer take effect after the next one, so repeating it is not needed any more. If the page is another one, its origins and versions are taken over, and the write is repeated with the revision that the page has.

--- a/crates/cactusbarrow_gateway/src/origin_store.rs
+++ b/crates/cactusbarrow_gateway/src/origin_store.rs
@@ -1,13 +1,13 @@
 //! Keeps the origins of streams in the platform's store.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use cactusbarrow_adapter::{KeyValue, Snapshot, StoreClient, StoreError};
+use cactusbarrow_adapter::{KeyValue, ReplaceOutcome, Snapshot, StoreClient, StoreError};
 use cactusbarrow_net::Clock;
 use cactusbarrow_policy::{
     Backoff, OriginConfig, ServedPage, ServedVersion, ServedVersions, ServiceId, SoftwareId,
@@ -31,10 +31,6 @@
 const RETRY_BACKOFF: Backoff =
     Backoff::new(Duration::from_millis(200), Duration::from_millis(2_000));
 
-/// Time within which the store may execute a write to which it did not respond. Such a write may
-/// replace a newer page.
-const LATE_WRITE_TIME: Duration = Duration::from_secs(5);
-
 /// Reads of all pages, of which one is in progress at a time.
 #[derive(Debug, Default)]
 pub(crate) struct PageReads {
@@ -161,14 +157,19 @@
     stop: CancellationToken,
 ) {
     let write = async {
-        load_pages(&shared, &store).await;
-        write_pages(&shared, &store).await;
+        let revisions = load_pages(&shared, &store).await;
+        write_pages(&shared, &store, revisions).await;
     };
     stop.run_until_cancelled(write).await;
 }
 
-/// Loads the pages that an earlier incarnation of this gateway wrote.
-async fn load_pages<C: Clock>(shared: &Shared<C>, store: &StoreClient) {
+/// Revision of the item that the store holds for each slot.
+///
+/// A slot without one holds none; `None` if it is not known which one it holds.
+type Revisions = HashMap<usize, Option<u64>>;
+
+/// Loads the pages that an earlier incarnation of this gateway wrote; returns their revisions.
+async fn load_pages<C: Clock>(shared: &Shared<C>, store: &StoreClient) -> Revisions {
     let prefix = page_prefix(shared.settings.ip);
     let mut failures = 0;
     let Snapshot {
@@ -201,6 +202,24 @@
             None => shared.versions().record_unknown(shared.now()),
         }
     }
+    let revisions = items
+        .iter()
+        .filter_map(|item| Some((slot_of(item)?, Some(item.position.revision))));
+    revisions.collect()
+}
+
+/// Records what another write has left on a page since it was read: an earlier incarnation's, or an earlier one of
+/// this gateway that was not answered.
+fn record_late_page<C: Clock>(shared: &Shared<C>, item: &KeyValue) {
+    let Some(page) = decode_page(item) else {
+        return;
+    };
+    record_origins(shared, &page);
+    let retention = OriginConfig::default().retention;
+    let served = served_page(shared, &page).filter(|served| served.age < retention);
+    for (service, software) in served.into_iter().flat_map(|served| served.served) {
+        shared.versions().record(service, software, shared.now());
+    }
 }
 
 /// Records the versions that an earlier incarnation of this gateway served, so that the next write of the page
@@ -223,11 +242,11 @@
     }
 }
 
-async fn write_pages<C: Clock>(shared: &Shared<C>, store: &StoreClient) {
+/// Writes pages as they change, each of which replaces the item that the slot is known to hold: a write that was not
+/// answered may be executed seconds later, and would hide what a newer page tells.
+async fn write_pages<C: Clock>(shared: &Shared<C>, store: &StoreClient, mut revisions: Revisions) {
     let prefix = page_prefix(shared.settings.ip);
     let mut failures = 0;
-    // Page whose write may have failed, and when it is written once more.
-    let mut uncertain: Option<(usize, Instant)> = None;
     loop {
         // Before the list has been read, the era and the versions of a page would be wrong.
         let has_list = shared.servers_position() != StorePosition::default();
@@ -238,26 +257,36 @@
                 () = tokio::time::sleep(ServedVersions::REFRESH_INTERVAL) => {
                     shared.origin_pages().refresh();
                 }
-                slot = wait_for_repeat(uncertain) => {
-                    uncertain = None;
-                    shared.origin_pages().record_unwritten(slot);
-                }
             }
             continue;
         };
         metrics::counter!("gateway_store_calls_total").increment(1);
         let served = served_versions(shared);
         let page = encode_page(shared, &origins, &served);
-        match store.put(&format!("{prefix}{slot}"), &page, None).await {
-            Ok(()) => {
+        let known = revisions.get(&slot).copied().unwrap_or(Some(0));
+        match store
+            .replace(&format!("{prefix}{slot}"), &page, known)
+            .await
+        {
+            Ok(ReplaceOutcome::Written { revision }) => {
                 failures = 0;
+                revisions.insert(slot, revision);
                 shared.record_stored(served.into_iter());
                 shared.origin_pages().record_written(slot);
             }
+            Ok(ReplaceOutcome::Conflict { current }) => {
+                if let Some(item) = &current {
+                    record_late_page(shared, item);
+                }
+                let revision = current.map_or(0, |item| item.position.revision);
+                // A store that refuses the item it names is not asked for it again.
+                let is_repeated = known == Some(revision);
+                revisions.insert(slot, (!is_repeated).then_some(revision));
+                shared.origin_pages().record_unwritten(slot);
+            }
             Err(e) => {
                 record_write_failure(&e);
                 shared.origin_pages().record_unwritten(slot);
-                uncertain = Some((slot, shared.now() + LATE_WRITE_TIME));
                 wait_for_retry(shared, failures).await;
                 failures += 1;
             }
@@ -271,17 +300,6 @@
     log::info!(dependency = "store", step = e.step; "origins not written: {e}");
 }
 
-/// Waits until the page is due to be written once more; waits forever if there is none.
-async fn wait_for_repeat(uncertain: Option<(usize, Instant)>) -> usize {
-    match uncertain {
-        Some((slot, due)) => {
-            tokio::time::sleep_until(due.into()).await;
-            slot
-        }
-        None => std::future::pending().await,
-    }
-}
-
 async fn wait_for_retry<C: Clock>(shared: &Shared<C>, failures: u32) {
     let wait = RETRY_BACKOFF.delay(failures, &mut *shared.rng());
     tokio::time::sleep(wait).await;
--- a/crates/cactusbarrow_gateway/tests/versions_joining.rs
+++ b/crates/cactusbarrow_gateway/tests/versions_joining.rs
@@ -162,6 +162,9 @@
     release.assert_not_mixed(last_event).await;
 }
 
+/// Time after which a gateway has given up a write and done the next one, well before it repeats the former.
+const NEXT_WRITE_TIME: Duration = Duration::from_millis(2_000);
+
 /// Has a stream begin at a version that joins and leaves, and all gateways end; takes it up at one that starts then.
 ///
 /// `before` comes before the version joins, and `after` before the next gateway starts.
@@ -182,6 +185,20 @@
     release.assert_not_mixed(last_event).await;
 }
 
+/// Load pattern: the store executes a write seconds after its writer has given it up.
+#[tokio::test]
+async fn late_write_hides_no_version_that_a_newer_page_names() {
+    let hold_write = async |release: &Release| {
+        let store = &release.cluster.store;
+        store.set_holds_writes(true);
+        begin_stream(&release.cluster, &release.in_step.gateway, "early", "v1").await;
+        eventually("a write is held", || store.held_writes() > 0).await;
+        store.set_holds_writes(false);
+        tokio::time::sleep(NEXT_WRITE_TIME).await;
+    };
+    assert_not_mixed_by_next(hold_write, |cluster| cluster.store.execute_held_writes()).await;
+}
+
 /// Load pattern: another writer damages the page.
 #[tokio::test]
 async fn page_that_was_cut_short_proves_nothing() {
