--- a/crates/cactusbarrow_gateway/tests/versions_joining.rs
+++ b/crates/cactusbarrow_gateway/tests/versions_joining.rs
@@ -208,3 +208,23 @@
         assert_not_mixed_by_next(async |_| {}, damage).await;
     }
 }
+
+/// Load pattern: an engine starts again under its id and address, and its entry tells its new version later.
+#[tokio::test]
+async fn engine_that_started_again_at_another_version_continues_no_stream() {
+    let mut cluster = TestCluster::start_with_software(&["v1"], EVENT_INTERVAL).await;
+    let gateway = cluster.one_gateway().await;
+    let last_event = begin_stream(&cluster, &gateway, "begun", "v1").await;
+    let engine = cluster.engines.remove(0);
+    engine.kill();
+    tokio::time::sleep(RECOVERY_TIME).await;
+    let again = engine.restart_with_software(engine.instance(), "v2").await;
+    cluster.engines.push(again.expect("the address is free"));
+    for attempt in 0..10 {
+        let id = format!("again-{attempt}");
+        let response = resume(&gateway, &id, Some("begun"), last_event).await;
+        let ran = cluster.run_count(&id);
+        assert_eq!((response.status(), ran), (503, 0), "{id}");
+        tokio::time::sleep(RECOVERY_TIME).await;
+    }
+}
