--- a/crates/cactusbarrow_gateway/src/origin_store.rs
+++ b/crates/cactusbarrow_gateway/src/origin_store.rs
@@ -1,12 +1,13 @@
 //! Keeps the origins of streams in the platform's store.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::net::IpAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use cactusbarrow_adapter::{KeyValue, Snapshot, StoreClient, StoreError};
+use cactusbarrow_adapter::{KeyValue, ReplaceOutcome, Snapshot, StoreClient, StoreError};
 use cactusbarrow_net::Clock;
 use cactusbarrow_policy::{
     Backoff, OriginConfig, ServedPage, ServedVersion, ServedVersions, ServiceId, SoftwareId,
@@ -30,25 +31,50 @@
 const RETRY_BACKOFF: Backoff =
     Backoff::new(Duration::from_millis(200), Duration::from_millis(2_000));
 
-/// Time within which the store may execute a write to which it did not respond. Such a write may
-/// replace a newer page.
-const LATE_WRITE_TIME: Duration = Duration::from_secs(5);
+/// Reads of all pages, of which one is in progress at a time.
+#[derive(Debug, Default)]
+pub(crate) struct PageReads {
+    /// Number of reads that have begun.
+    begun: AtomicU64,
+    /// Stays locked during a read, so that other callers wait for its result or the next one.
+    last: tokio::sync::Mutex<Option<LastRead>>,
+}
+
+#[derive(Debug)]
+struct LastRead {
+    /// Number of reads that had begun, with this one.
+    number: u64,
+    /// Start of the read, or its end if it failed.
+    at: Instant,
+    /// Versions that the pages tell; `None` if they could not be read.
+    served: Option<ServedVersions>,
+}
 
-/// Start of the last read of all pages, or its end if it failed, and the versions that they tell. It stays locked
-/// during a read, so that other callers wait for its result.
-pub(crate) type LastRead = tokio::sync::Mutex<Option<(Instant, Option<ServedVersions>)>>;
+impl LastRead {
+    /// Returns the time for which another read is not to begin.
+    fn wait(&self, now: Instant) -> Duration {
+        READ_INTERVAL.saturating_sub(now.saturating_duration_since(self.at))
+    }
+}
 
-/// Reads the pages of all gateways, unless the last read was just now.
+/// Reads the pages of all gateways, by a read that begins after this call: a stream that is resumed may have begun
+/// just before at a version that no page named then. Calls beside each other share a read.
 ///
-/// Returns the versions at which gateways may have begun streams; `None` if the store could not be read.
+/// Returns the versions at which gateways may have begun streams; `None` if the store could not be read now or
+/// just before.
 pub(crate) async fn read_pages<C: Clock>(shared: &Shared<C>) -> Option<ServedVersions> {
-    let mut last_read = shared.last_origin_read().lock().await;
-    let now = shared.now();
-    if let Some((at, served)) = &*last_read
-        && now.saturating_duration_since(*at) < READ_INTERVAL
-    {
-        return served.clone();
+    let reads = shared.page_reads();
+    let begun_before = reads.begun.load(Ordering::Relaxed);
+    let mut last_read = reads.last.lock().await;
+    if let Some(last) = &*last_read {
+        let wait = last.wait(shared.now());
+        if last.number > begun_before || (last.served.is_none() && !wait.is_zero()) {
+            return last.served.clone();
+        }
+        tokio::time::sleep(wait).await;
     }
+    let number = reads.begun.fetch_add(1, Ordering::Relaxed) + 1;
+    let now = shared.now();
     metrics::counter!("gateway_store_calls_total").increment(1);
     let known_era = shared.servers_position().era;
     let result = shared.store().read_all(PAGES_PREFIX, known_era).await;
@@ -60,9 +86,7 @@
                 record_origins(shared, page);
             }
             let served = pages.iter().map(Option::as_ref);
-            let served: Vec<_> = served
-                .map(|page| page.map(|page| served_page(shared, page)))
-                .collect();
+            let served: Vec<_> = served.map(|page| served_page(shared, page?)).collect();
             let retention = OriginConfig::default().retention;
             let era = snapshot.position.era;
             Some(ServedVersions::collect(&served, era, retention))
@@ -74,21 +98,25 @@
     };
     // Callers that waited for a read that failed do not repeat it one after another.
     let at = if result.is_ok() { now } else { shared.now() };
-    *last_read = Some((at, served.clone()));
+    *last_read = Some(LastRead {
+        number,
+        at,
+        served: served.clone(),
+    });
     served
 }
 
-/// Returns what a page tells about the versions that its gateway served; one of an earlier release states no
-/// time, so it counts as expired.
-fn served_page<C: Clock>(shared: &Shared<C>, page: &StreamOriginPage) -> ServedPage {
+/// Returns what a page tells about the versions that its gateway served; `None` for one that states no time, since
+/// another writer has cut it short, or an earlier release wrote it.
+fn served_page<C: Clock>(shared: &Shared<C>, page: &StreamOriginPage) -> Option<ServedPage> {
     let written_at = Duration::from_millis(page.unix_ms);
-    ServedPage {
+    (page.unix_ms > 0).then(|| ServedPage {
         served: page.served.iter().copied().map(version_from_wire).collect(),
         age: shared.unix_time().saturating_sub(written_at),
         is_complete: !page.is_incomplete,
         era: StoreEra(page.store_era),
         era_age: Duration::from_millis(page.era_age_ms),
-    }
+    })
 }
 
 /// Records the origins on a page; returns whether the item is a page.
@@ -129,14 +157,19 @@
     stop: CancellationToken,
 ) {
     let write = async {
-        load_pages(&shared, &store).await;
-        write_pages(&shared, &store).await;
+        let revisions = load_pages(&shared, &store).await;
+        write_pages(&shared, &store, revisions).await;
     };
     stop.run_until_cancelled(write).await;
 }
 
-/// Loads the pages that an earlier incarnation of this gateway wrote.
-async fn load_pages<C: Clock>(shared: &Shared<C>, store: &StoreClient) {
+/// Revision of the item that the store holds for each slot.
+///
+/// A slot without one holds none; `None` if it is not known which one it holds.
+type Revisions = HashMap<usize, Option<u64>>;
+
+/// Loads the pages that an earlier incarnation of this gateway wrote; returns their revisions.
+async fn load_pages<C: Clock>(shared: &Shared<C>, store: &StoreClient) -> Revisions {
     let prefix = page_prefix(shared.settings.ip);
     let mut failures = 0;
     let Snapshot {
@@ -169,16 +202,37 @@
             None => shared.versions().record_unknown(shared.now()),
         }
     }
+    let revisions = items
+        .iter()
+        .filter_map(|item| Some((slot_of(item)?, Some(item.position.revision))));
+    revisions.collect()
+}
+
+/// Records what another write has left on a page since it was read: an earlier incarnation's, or an earlier one of
+/// this gateway that was not answered.
+fn record_late_page<C: Clock>(shared: &Shared<C>, item: &KeyValue) {
+    let Some(page) = decode_page(item) else {
+        return;
+    };
+    record_origins(shared, &page);
+    let retention = OriginConfig::default().retention;
+    let served = served_page(shared, &page).filter(|served| served.age < retention);
+    for (service, software) in served.into_iter().flat_map(|served| served.served) {
+        shared.versions().record(service, software, shared.now());
+    }
 }
 
 /// Records the versions that an earlier incarnation of this gateway served, so that the next write of the page
 /// names them.
 fn record_served<C: Clock>(shared: &Shared<C>, page: &StreamOriginPage, era: StoreEra) {
-    let served = served_page(shared, page);
+    let now = shared.now();
+    let Some(served) = served_page(shared, page) else {
+        shared.versions().record_unknown(now);
+        return;
+    };
     if served.age >= ServedVersions::PAGE_EXPIRY {
         return;
     }
-    let now = shared.now();
     // The store has returned to a copy since, which may lack a newer page.
     if !served.is_complete || served.era != era {
         shared.versions().record_unknown(now);
@@ -188,11 +242,11 @@
     }
 }
 
-async fn write_pages<C: Clock>(shared: &Shared<C>, store: &StoreClient) {
+/// Writes pages as they change, each of which replaces the item that the slot is known to hold: a write that was not
+/// answered may be executed seconds later, and would hide what a newer page tells.
+async fn write_pages<C: Clock>(shared: &Shared<C>, store: &StoreClient, mut revisions: Revisions) {
     let prefix = page_prefix(shared.settings.ip);
     let mut failures = 0;
-    // Page whose write may have failed, and when it is written once more.
-    let mut uncertain: Option<(usize, Instant)> = None;
     loop {
         // Before the list has been read, the era and the versions of a page would be wrong.
         let has_list = shared.servers_position() != StorePosition::default();
@@ -203,26 +257,36 @@
                 () = tokio::time::sleep(ServedVersions::REFRESH_INTERVAL) => {
                     shared.origin_pages().refresh();
                 }
-                slot = wait_for_repeat(uncertain) => {
-                    uncertain = None;
-                    shared.origin_pages().record_unwritten(slot);
-                }
             }
             continue;
         };
         metrics::counter!("gateway_store_calls_total").increment(1);
         let served = served_versions(shared);
         let page = encode_page(shared, &origins, &served);
-        match store.put(&format!("{prefix}{slot}"), &page, None).await {
-            Ok(()) => {
+        let known = revisions.get(&slot).copied().unwrap_or(Some(0));
+        match store
+            .replace(&format!("{prefix}{slot}"), &page, known)
+            .await
+        {
+            Ok(ReplaceOutcome::Written { revision }) => {
                 failures = 0;
+                revisions.insert(slot, revision);
                 shared.record_stored(served.into_iter());
                 shared.origin_pages().record_written(slot);
             }
+            Ok(ReplaceOutcome::Conflict { current }) => {
+                if let Some(item) = &current {
+                    record_late_page(shared, item);
+                }
+                let revision = current.map_or(0, |item| item.position.revision);
+                // A store that refuses the item it names is not asked for it again.
+                let is_repeated = known == Some(revision);
+                revisions.insert(slot, (!is_repeated).then_some(revision));
+                shared.origin_pages().record_unwritten(slot);
+            }
             Err(e) => {
                 record_write_failure(&e);
                 shared.origin_pages().record_unwritten(slot);
-                uncertain = Some((slot, shared.now() + LATE_WRITE_TIME));
                 wait_for_retry(shared, failures).await;
                 failures += 1;
             }
@@ -236,17 +300,6 @@
     log::info!(dependency = "store", step = e.step; "origins not written: {e}");
 }
 
-/// Waits until the page is due to be written once more; waits forever if there is none.
-async fn wait_for_repeat(uncertain: Option<(usize, Instant)>) -> usize {
-    match uncertain {
-        Some((slot, due)) => {
-            tokio::time::sleep_until(due.into()).await;
-            slot
-        }
-        None => std::future::pending().await,
-    }
-}
-
 async fn wait_for_retry<C: Clock>(shared: &Shared<C>, failures: u32) {
     let wait = RETRY_BACKOFF.delay(failures, &mut *shared.rng());
     tokio::time::sleep(wait).await;
