Take only an event stream with status 200 for the stream of a generation

Callers saw: a stream that had broken off ended as complete, or got further events, since the next engine answered 201 to 206, or 200 with another content type. Cause: any success with id and signature was taken for the stream; an interim status that ends the exchange (101) was a rejection. Change: the adapter tells whether a head is that of an event stream (200, and no other content type); other successes and 101 are broken responses, as unsigned ones are.

--- a/crates/cactusbarrow_gateway/src/generation/attempt.rs
+++ b/crates/cactusbarrow_gateway/src/generation/attempt.rs
@@ -240,7 +240,7 @@
         if head.is_from_instance() {
             shared.record_alive(target.key);
         }
-        if head.status.is_success() && head.is_matching && head.is_signed && !head.is_encoded {
+        if head.is_event_stream && head.is_matching && head.is_signed && !head.is_encoded {
             let engine = (target.key, target.entry.clone());
             let copies = CopyManager::new(shared.clone(), engine, target.work, target.holder);
             let attempt = Self {
@@ -399,7 +399,8 @@
     if head.is_not_executed {
         return OpenResult::Failed(ResumeEvent::NotExecuted);
     }
-    if head.status.is_success() {
+    // An engine neither switches protocols nor answers a generation with another success.
+    if head.status.is_informational() || head.status.is_success() {
         return OpenResult::Failed(ResumeEvent::Broken);
     }
     let is_failure = head.status.is_server_error();
