Accept only whole events of a generation from an engine's stream

Callers saw: an error's text, an error event, or the whole head of a response in the middle of their stream, as one event with the next id. Cause: an event counted if its id followed the last one, whatever else stood between two blank lines. Change: an event has exactly one id, only fields of events, lines that end alike, and is not of the type "error". Evidence: stream_that_broke_off_is_completed_past_any_error.

--- a/crates/cactusbarrow_gateway/src/generation/stream.rs
+++ b/crates/cactusbarrow_gateway/src/generation/stream.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use cactusbarrow_adapter::EngineResponse;
+use cactusbarrow_adapter::{EngineResponse, is_generation_event};
 use cactusbarrow_net::{Clock, RawEvent};
 use cactusbarrow_policy::{
     AttemptStart, BackendKey, GenerationSize, GenerationTimes, Outcome, Reason, RequestParts,
@@ -421,6 +421,14 @@
             );
             return Err(ResumeEvent::Broken);
         };
+        if !is_generation_event(&event.bytes) {
+            log::warn!(
+                request_id = self.request_id(),
+                received = id;
+                "event has other bytes than those of an event"
+            );
+            return Err(ResumeEvent::Broken);
+        }
         self.last_event = Some(id);
         self.plan.record_progress();
         self.wait_count = 0;
--- a/crates/cactusbarrow_gateway/tests/streams_ended_by_errors.rs
+++ b/crates/cactusbarrow_gateway/tests/streams_ended_by_errors.rs
@@ -100,6 +100,7 @@
 /// Returns responses that do not end a stream after event `last`, in any number.
 fn errors(last: u64) -> Vec<Reply> {
     let mut replies = other_statuses(last);
+    replies.extend(other_texts(last));
     replies.extend(other_bodies(last));
     replies
 }
@@ -137,6 +138,72 @@
     replies
 }
 
+/// Returns texts that are no events of the stream.
+fn texts(last: u64) -> Vec<(String, String)> {
+    let next = last + 1;
+    let texts = [
+        ("text", format!("{ERROR}\n\n")),
+        (
+            "text before the id",
+            format!("{ERROR}\nid: {next}\ndata: x\n\n"),
+        ),
+        ("comment", format!(": {ERROR}\n\n")),
+        ("retry", "retry: 10\n\n".to_owned()),
+        ("error event", format!("event: error\ndata: {ERROR}\n\n")),
+        (
+            "error event with the next id",
+            format!("id: {next}\nevent: error\ndata: {ERROR}\n\n"),
+        ),
+        (
+            "two ids",
+            format!("id: {next}\nid: {next}\ndata: {ERROR}\n\n"),
+        ),
+        (
+            "head in an event",
+            format!("id: {next}\ndata: toHTTP/1.1 500 {ERROR}\r\ncontent-length: 0\r\n\r\n"),
+        ),
+        (
+            "bare head in an event",
+            format!("id: {next}\ndata: toHTTP/1.1 500 {ERROR}\r\n\r\n"),
+        ),
+        (
+            "head after a line of an event",
+            format!("id: {next}\nHTTP/1.1 500 {ERROR}\r\ncontent-length: 0\r\n\r\n"),
+        ),
+        (
+            "head",
+            format!("HTTP/1.1 500 {ERROR}\r\ncontent-length: 0\r\n\r\n"),
+        ),
+    ];
+    let mut texts = Vec::from(texts.map(|(name, text)| (name.to_owned(), text)));
+    // A stream may begin with any id.
+    if last > 0 {
+        for (name, id) in [
+            ("jumps", next + 1),
+            ("repeats", last),
+            ("goes back", last - 1),
+        ] {
+            let text = format!("id: {id}\ndata: {ERROR}\n\n");
+            texts.push((format!("id that {name}"), text));
+        }
+    }
+    texts
+}
+
+/// Returns streams of texts that are no events, in each framing.
+fn other_texts(last: u64) -> Vec<Reply> {
+    let mut replies = Vec::new();
+    for (name, text) in texts(last) {
+        replies.push(reply(&format!("{name}, chunked"), chunked(&text)));
+        replies.push(reply(
+            &format!("{name}, length"),
+            with_length("200 OK", "", &text),
+        ));
+        replies.push(reply(&format!("{name}, closed"), stream_head("") + &text));
+    }
+    replies
+}
+
 /// Returns responses whose body is no event stream, or is cut.
 fn other_bodies(last: u64) -> Vec<Reply> {
     let events_of_next = events(last + 1, last + 1);
