Complete a stream only if something shows that it is whole

Callers saw: a stream that had broken off ended as complete, since the next engine sent an empty stream, or an event and closed its connection. Cause: any end in order counted once there had been an event, or the caller had one. Change: an engine that sent events shows the end by its framing; a closed connection does not end a stream that broke off, and no response without events ends one, unless a second engine ends it behind the same event. The only engine there is is believed if it ends the stream of a caller that has resumed. Otherwise the stream breaks off, and its caller may resume it. Where the decision is made needs what ends a body, which the connection to the engine now states.

--- a/crates/cactusbarrow_gateway/src/generation/attempt.rs
+++ b/crates/cactusbarrow_gateway/src/generation/attempt.rs
@@ -8,8 +8,8 @@
 use cactusbarrow_adapter::{CopyLocation, EngineRequest, EngineResponse, decode_engine_response};
 use cactusbarrow_net::{Clock, EventSplitter, NetError, RawEvent, collect_limited};
 use cactusbarrow_policy::{
-    BackendEntry, BackendKey, BackendWork, LossCause, PromptLocation, ResumeEvent, SoftwareId,
-    stable_hash,
+    AttemptStreamEnd, BackendEntry, BackendKey, BackendWork, LossCause, PromptLocation,
+    ResumeEvent, SoftwareId, stable_hash,
 };
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -18,7 +18,7 @@
 use super::copy_manager::{CopyManager, Holder};
 use super::loss_watch::LossWatch;
 use crate::backend_connection::{
-    BackendConnection, StreamingResponse, log_foreign_response, loss_cause,
+    BackendConnection, BodyEnd, StreamingResponse, log_foreign_response, loss_cause,
 };
 use crate::request::AdmittedRequest;
 use crate::shared::Shared;
@@ -111,7 +111,7 @@
 pub(crate) enum AttemptItem {
     /// The next event.
     Event(RawEvent),
-    /// The stream is complete.
+    /// The stream ended in order.
     End,
     /// The attempt failed before the stream was complete.
     Failed(ResumeEvent),
@@ -168,6 +168,7 @@
     /// Software version of the engine.
     pub(crate) software: SoftwareId,
     pub(crate) head: EngineResponse,
+    body_end: BodyEnd,
     load_guard: LoadGuard<C>,
     reader: EventReader,
     loss: LossWatch<C>,
@@ -231,6 +232,7 @@
                 return OpenResult::Failed(ResumeEvent::Broken);
             }
         };
+        let body_end = response.body_end();
         let (head, body, driver) = response.into_parts();
         let head = decode_engine_response(head, &req.caller.request_id);
         shared.record_notice(&target.entry, head.notice, sent_at);
@@ -247,6 +249,7 @@
                 key: target.key,
                 software: target.entry.software.id(),
                 head,
+                body_end,
                 load_guard,
                 reader: EventReader {
                     request_id: req.caller.request_id.as_str().into(),
@@ -267,6 +270,14 @@
         self.load_guard.is_prompt_read
     }
 
+    /// Returns how its stream ended, if it ended in order.
+    pub(crate) fn end(&self) -> AttemptStreamEnd {
+        AttemptStreamEnd {
+            has_events: self.has_read_prompt(),
+            is_framed: self.body_end == BodyEnd::Framed,
+        }
+    }
+
     /// Waits for the next item, at most until `until`.
     pub(crate) async fn next(&mut self, until: Instant) -> AttemptItem {
         let item = tokio::select! {
--- a/crates/cactusbarrow_gateway/src/generation/stream.rs
+++ b/crates/cactusbarrow_gateway/src/generation/stream.rs
@@ -12,7 +12,7 @@
 use cactusbarrow_net::{Clock, RawEvent};
 use cactusbarrow_policy::{
     AttemptStart, BackendKey, GenerationSize, GenerationTimes, Outcome, Reason, RequestParts,
-    ResumeAction, ResumeEvent, ResumePlan, SoftwareId,
+    ResumeAction, ResumeEvent, ResumePlan, SoftwareId, StreamEnd,
 };
 use http::HeaderMap;
 use tokio_util::sync::CancellationToken;
@@ -86,6 +86,8 @@
     /// Software version that brought the first event; any version may bring it.
     software: Option<SoftwareId>,
     last_event: Option<u64>,
+    /// What shows that the stream is complete.
+    end: StreamEnd,
     attempt_count: u64,
     first_event_at: Option<Instant>,
     last_event_at: Option<Instant>,
@@ -128,6 +130,7 @@
             head: None,
             software: None,
             last_event: req.caller.last_event_id,
+            end: StreamEnd::default(),
             attempt_count: 0,
             first_event_at: None,
             last_event_at: None,
@@ -332,10 +335,9 @@
                 Ok(bytes) => return Some(GenerationItem::Event(bytes)),
                 Err(event) => event,
             },
-            // A generation has at least one event; only a caller that has them all gets no more.
-            AttemptItem::End if self.last_event.is_none() && self.last_event_at.is_none() => {
-                ResumeEvent::Broken
-            }
+            // A generation has at least one event.
+            AttemptItem::End if self.last_event.is_none() => ResumeEvent::Broken,
+            AttemptItem::End if !self.is_complete() => ResumeEvent::Unconfirmed,
             AttemptItem::End => {
                 self.store_head();
                 self.record_begun();
@@ -349,6 +351,9 @@
         let mut has_progress = false;
         if let Some(running) = self.running.take() {
             has_progress = running.attempt.has_read_prompt();
+            if has_progress {
+                self.end.record_break();
+            }
             self.holder = self.usable_holder(&running).cloned();
             let key = self.holder.as_ref().map(|holder| holder.key);
             self.plan.record_holder(key);
@@ -359,6 +364,21 @@
         self.handle_attempt_end(event, has_progress)
     }
 
+    /// Returns whether the end of the current attempt's stream is that of the generation.
+    fn is_complete(&mut self) -> bool {
+        let Some(running) = &self.running else {
+            return false;
+        };
+        let end = running.attempt.end();
+        let shared = &self.req.shared;
+        let (service, excluded) = (&self.req.service, self.plan.excluded());
+        let is_only_engine = excluded.len() == 1
+            && !shared
+                .fleet()
+                .may_recover(service, self.software, excluded, shared.now());
+        self.end.is_complete(end, is_only_engine)
+    }
+
     /// Returns to the attempt at the suspected engine, if there is one, because no other engine
     /// accepted the generation.
     fn resume_fallback(&mut self) -> bool {
@@ -430,6 +450,7 @@
             return Err(ResumeEvent::Broken);
         }
         self.last_event = Some(id);
+        self.end.record_event();
         self.plan.record_progress();
         self.wait_count = 0;
         let now = self.req.shared.now();
--- a/crates/cactusbarrow_gateway/tests/streams_ended_by_errors.rs
+++ b/crates/cactusbarrow_gateway/tests/streams_ended_by_errors.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use cactusbarrow_adapter_standins::{CallerHead, DEFAULT_SOFTWARE, entry_json_with_software};
 use cactusbarrow_net::Body;
-use common::{Gateway, TestCluster, caller_head, eventually, zone};
+use common::{Gateway, TestCluster, caller_head, eventually, free_ports, zone};
 use http_body_util::BodyExt;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -287,7 +287,11 @@
                 }
             });
         }
-        let gateway = cluster.one_gateway().await;
+        // An address of this process alone, since each case listens on ports of its own.
+        let [_, high, middle, low] = std::process::id().to_be_bytes();
+        let ip = format!("127.{}.{middle}.{low}", 64 + high);
+        let gateway = cluster.gateway(&ip, free_ports(&ip), &ip).await;
+        gateway.wait_until_ready().await;
         let listed = engines + cluster.apps.len();
         eventually("all are listed", || {
             gateway.handle.status().backends == listed
@@ -424,7 +428,9 @@
 }
 
 fn all_cases(last: u64) -> Vec<Reply> {
-    errors(last)
+    let mut cases = errors(last);
+    cases.extend(early_ends(last));
+    cases
 }
 
 /// Returns whether the caller gets the response itself, since its stream has not begun.
@@ -459,7 +465,9 @@
 #[tokio::test]
 async fn stream_that_a_caller_resumes_is_completed_past_any_error() {
     let mut failures = Failures::default();
-    let cases = errors(BROKEN_AT);
+    let mut cases = errors(BROKEN_AT);
+    // No attempt broke off, so an event and a close may be the end of a response without length.
+    cases.extend(early_ends(BROKEN_AT).into_iter().take(3));
     for case in cases.iter().filter(|case| !is_rejection(case)) {
         let engines = RawEngines::start(3).await;
         engines.begin().await;
@@ -473,7 +481,8 @@
 #[tokio::test]
 async fn stream_that_has_not_begun_is_completed_past_any_error() {
     let mut failures = Failures::default();
-    let cases = errors(0);
+    let mut cases = errors(0);
+    cases.extend(early_ends(0).into_iter().take(3));
     for case in cases.iter().filter(|case| !is_rejection(case)) {
         let engines = RawEngines::start(3).await;
         engines.set_script(std::slice::from_ref(case), None);
--- a/crates/cactusbarrow_policy/src/resume_plan.rs
+++ b/crates/cactusbarrow_policy/src/resume_plan.rs
@@ -27,6 +27,8 @@
     Failed,
     /// The stream broke off, or its events do not continue the previous ones.
     Broken,
+    /// The stream ended in order, but nothing else shows that it is complete.
+    Unconfirmed,
     /// The engine sends nothing and does not respond to probes; it may be sound and go on.
     Silent,
     /// The engine is alive, but this stream makes no progress; it may go on.
@@ -42,7 +44,7 @@
             Self::NotConnected | Self::Unreached => Reason::NotConnected,
             Self::NotExecuted => Reason::NotExecuted,
             Self::Rejected | Self::Failed => Reason::BackendError,
-            Self::Broken => Reason::BrokenResponse,
+            Self::Broken | Self::Unconfirmed => Reason::BrokenResponse,
             Self::Silent => Reason::Silent,
             Self::Stalled => Reason::Stalled,
             Self::Gone => Reason::EngineLost,
