--- a/crates/cactusbarrow_policy/src/resume_plan.rs
+++ b/crates/cactusbarrow_policy/src/resume_plan.rs
@@ -20,12 +20,15 @@
     Unreached,
     /// The engine states that it did not run the request.
     NotExecuted,
-    /// The engine responded with a status that any other engine would return, too.
+    /// The engine responded with a status that any other engine would return, too, unless one has
+    /// already begun the response.
     Rejected,
     /// The engine failed the request.
     Failed,
     /// The stream broke off, or its events do not continue the previous ones.
     Broken,
+    /// The stream ended in order, but nothing else shows that it is complete.
+    Unconfirmed,
     /// The engine sends nothing and does not respond to probes; it may be sound and go on.
     Silent,
     /// The engine is alive, but this stream makes no progress; it may go on.
@@ -41,7 +44,7 @@
             Self::NotConnected | Self::Unreached => Reason::NotConnected,
             Self::NotExecuted => Reason::NotExecuted,
             Self::Rejected | Self::Failed => Reason::BackendError,
-            Self::Broken => Reason::BrokenResponse,
+            Self::Broken | Self::Unconfirmed => Reason::BrokenResponse,
             Self::Silent => Reason::Silent,
             Self::Stalled => Reason::Stalled,
             Self::Gone => Reason::EngineLost,
@@ -250,7 +253,7 @@
         has_progress: bool,
         has_budget: bool,
     ) -> ResumeAction {
-        if event == ResumeEvent::Rejected {
+        if event == ResumeEvent::Rejected && !self.is_started {
             return ResumeAction::Deliver;
         }
         let reason = event.reason();
