--- a/crates/cactusbarrow_gateway/src/backend_connection.rs
+++ b/crates/cactusbarrow_gateway/src/backend_connection.rs
@@ -9,7 +9,7 @@
 use cactusbarrow_adapter::{EngineResponse, REQUEST_ID};
 use cactusbarrow_net::{Body, BodyFraming, NetError};
 use cactusbarrow_policy::LossCause;
-use http::{Request, header, response};
+use http::{Request, response};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -27,15 +27,6 @@
     driver: AbortOnDropHandle<()>,
 }
 
-/// What ends the body of a response.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum BodyEnd {
-    /// Its length, or its last chunk.
-    Framed,
-    /// The end of its connection.
-    Connection,
-}
-
 /// The head of a response whose body has not been read yet.
 pub(crate) struct StreamingResponse {
     pub(crate) head: response::Parts,
@@ -46,16 +37,6 @@
 }
 
 impl StreamingResponse {
-    /// Returns what ends the body.
-    pub(crate) fn body_end(&self) -> BodyEnd {
-        let has = |name| self.head.headers.contains_key(name);
-        if has(header::CONTENT_LENGTH) || has(header::TRANSFER_ENCODING) {
-            BodyEnd::Framed
-        } else {
-            BodyEnd::Connection
-        }
-    }
-
     /// Splits the response; the connection stays open until the returned handle is dropped.
     pub(crate) fn into_parts(self) -> (response::Parts, Incoming, AbortOnDropHandle<()>) {
         (self.head, self.body, self.driver)
--- a/crates/cactusbarrow_gateway/src/generation/attempt.rs
+++ b/crates/cactusbarrow_gateway/src/generation/attempt.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use cactusbarrow_adapter::{CopyLocation, EngineRequest, EngineResponse, decode_engine_response};
-use cactusbarrow_net::{Clock, EventSplitter, NetError, RawEvent, collect_limited};
+use cactusbarrow_net::{BodyFraming, Clock, EventSplitter, NetError, RawEvent, collect_limited};
 use cactusbarrow_policy::{
     AttemptStreamEnd, BackendEntry, BackendKey, BackendWork, LossCause, PromptLocation,
     ResumeEvent, SoftwareId, stable_hash,
@@ -18,7 +18,7 @@
 use super::copy_manager::{CopyManager, Holder};
 use super::loss_watch::LossWatch;
 use crate::backend_connection::{
-    BackendConnection, BodyEnd, StreamingResponse, log_foreign_response, loss_cause,
+    BackendConnection, StreamingResponse, log_foreign_response, loss_cause,
 };
 use crate::request::AdmittedRequest;
 use crate::shared::Shared;
@@ -168,7 +168,7 @@
     /// Software version of the engine.
     pub(crate) software: SoftwareId,
     pub(crate) head: EngineResponse,
-    body_end: BodyEnd,
+    framing: BodyFraming,
     load_guard: LoadGuard<C>,
     reader: EventReader,
     loss: LossWatch<C>,
@@ -232,7 +232,7 @@
                 return OpenResult::Failed(ResumeEvent::Broken);
             }
         };
-        let body_end = response.body_end();
+        let framing = response.framing;
         let (head, body, driver) = response.into_parts();
         let head = decode_engine_response(head, &req.caller.request_id);
         shared.record_notice(&target.entry, head.notice, sent_at);
@@ -249,7 +249,7 @@
                 key: target.key,
                 software: target.entry.software.id(),
                 head,
-                body_end,
+                framing,
                 load_guard,
                 reader: EventReader {
                     request_id: req.caller.request_id.as_str().into(),
@@ -274,7 +274,7 @@
     pub(crate) fn end(&self) -> AttemptStreamEnd {
         AttemptStreamEnd {
             has_events: self.has_read_prompt(),
-            is_framed: self.body_end == BodyEnd::Framed,
+            is_framed: self.framing == BodyFraming::Stated,
         }
     }
 
