Hold that a complete stream reaches a slow reader although its gateway exits

A hypothesis of the incident: the engine has ended a stream, its caller has not read it, and the gateway exits. The test has a caller with a receive buffer of 4 KB that stops reading before the stop, and reads the rest after the exit: it gets the whole stream, since the kernel delivers what the gateway has written. It passes on the code as it was, and stays.

--- a/tests/gateway_stops.rs
+++ b/tests/gateway_stops.rs
@@ -12,6 +12,8 @@
 use cactusbarrow_net::{Body, HttpClient, HttpVersion};
 use http_body_util::BodyExt;
 use rustix::process::{Pid, Signal, kill_process};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpSocket;
 use tokio::task::JoinSet;
 
 const KEY: &str = "key-of-stops";
@@ -23,6 +25,9 @@
 /// Grace period of the deployments.
 const LONG_GRACE: Duration = Duration::from_secs(8);
 
+/// Receive buffer of a caller that reads slowly, in bytes.
+const SLOW_READER_BUFFER: u32 = 4_096;
+
 /// Time within which all streams have to begin.
 const START_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -194,3 +199,40 @@
     assert!(res.headers().contains_key("retry-after"));
     assert!(engine.runs().is_empty(), "the generation was sent on");
 }
+
+/// Guards against responses that their engine has completed and that a slow reader loses at the exit.
+#[tokio::test(flavor = "multi_thread")]
+async fn complete_stream_reaches_a_slow_reader_after_the_exit() {
+    const EVENTS: u64 = 1_000;
+    let store = start_store().await;
+    let engine = BackendStandin::start("engine", EVENTS, Duration::ZERO)
+        .await
+        .expect("start an engine");
+    let entry = entry_json("llm", engine.addr(), "zona-pa", "ready");
+    store.put("servers/engine", &entry);
+    let mut gateway = GatewayProcess::start("127.0.91.4", store.addr(), GRACE);
+    gateway.wait_for_line("backend server listed");
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket
+        .set_recv_buffer_size(SLOW_READER_BUFFER)
+        .expect("a small buffer");
+    let mut conn = socket.connect(gateway.callers).await.expect("connect");
+    let head = format!(
+        "POST /stream/a HTTP/1.1\r\nhost: ficu.example\r\ncactusbarrow-request-id: slow\r\n\
+         cactusbarrow-key: {KEY}\r\ncactusbarrow-deadline-ms: 20000\r\n\
+         cactusbarrow-token-usage: 10,10\r\ncontent-length: 0\r\n\r\n"
+    );
+    conn.write_all(head.as_bytes()).await.expect("send");
+    let mut body = vec![0; 100];
+    conn.read_exact(&mut body).await.expect("a response");
+    gateway.signal(Signal::TERM);
+    let (_, log) = tokio::task::spawn_blocking(move || gateway.wait_for_exit())
+        .await
+        .expect("the log is read");
+    let read = conn.read_to_end(&mut body).await;
+    let text = String::from_utf8_lossy(&body);
+    assert!(
+        read.is_ok() && text.ends_with("0\r\n\r\n"),
+        "{read:?} {log}"
+    );
+}
