Break off a stream that a router has begun and gives up

Callers of a router whose engines had all ended got the begun stream, an event of the type error, and the regular end of the body: by its framing the response was whole, and only the missing [DONE] told otherwise. The router now aborts the body behind that event, as a gateway does.

stream_that_a_router_gives_up_does_not_look_complete failed before (200, whole, with the error's text at its end) and passes; the other 14 tests of failures.rs pass unchanged, 2 of 2 runs.

--- a/crates/cactusbarrow_router/src/sink.rs
+++ b/crates/cactusbarrow_router/src/sink.rs
@@ -205,10 +205,14 @@
             SseState::Open(tx) => {
                 refusal.record();
                 let event = format!("event: error\ndata: {}\n\n", refusal.to_json());
-                let sent = tokio::time::timeout(self.stall_timeout, tx.send(event.into())).await;
-                if sent.is_ok() {
-                    tx.finish();
-                }
+                // The stream is not complete, which its framing has to show as well.
+                let end = async {
+                    if tx.send(event.into()).await {
+                        tx.abort().await;
+                    }
+                };
+                // A caller that does not read gets no more than a broken connection.
+                let _ = tokio::time::timeout(self.stall_timeout, end).await;
             }
             SseState::Closed => {}
         }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -437,3 +437,30 @@
         "the load order is sent once"
     );
 }
+
+/// Guards against a stream that a router has begun and given up, and that looks complete.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_that_a_router_gives_up_does_not_look_complete() {
+    let mut cluster = small_cluster().await;
+    let router = cluster.routers[0].handle.listen;
+    let started = Instant::now();
+    let whole = tokio::spawn(async move {
+        caller()
+            .send(
+                router,
+                Method::POST,
+                "/v1/completions",
+                &[],
+                &body(11),
+                TIMEOUT,
+            )
+            .await
+    });
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    for engine in &mut cluster.engines {
+        engine.agent.kill_and_wait().await;
+    }
+    let whole = whole.await.expect("the caller does not panic");
+    assert!(started.elapsed() < TIMEOUT, "the router gave up before");
+    assert!(whole.is_err(), "{whole:?}");
+}
