Count a stream as broken off only once another attempt goes on with it

A break is now recorded when a second attempt delivers an event, or ends without one; an attempt counts only by events that the caller got.

--- a/crates/cactusbarrow_gateway/src/generation/attempt.rs
+++ b/crates/cactusbarrow_gateway/src/generation/attempt.rs
@@ -169,6 +169,8 @@
     pub(crate) software: SoftwareId,
     pub(crate) head: EngineResponse,
     framing: BodyFraming,
+    /// Whether the caller has got an event of the attempt.
+    has_delivered: bool,
     load_guard: LoadGuard<C>,
     reader: EventReader,
     loss: LossWatch<C>,
@@ -250,6 +252,7 @@
                 software: target.entry.software.id(),
                 head,
                 framing,
+                has_delivered: false,
                 load_guard,
                 reader: EventReader {
                     request_id: req.caller.request_id.as_str().into(),
@@ -270,10 +273,15 @@
         self.load_guard.is_prompt_read
     }
 
+    /// Records that the caller gets an event of the attempt; returns whether it is the first.
+    pub(crate) fn record_delivery(&mut self) -> bool {
+        !std::mem::replace(&mut self.has_delivered, true)
+    }
+
     /// Returns how its stream ended, if it ended in order.
     pub(crate) fn end(&self) -> AttemptStreamEnd {
         AttemptStreamEnd {
-            has_events: self.has_read_prompt(),
+            has_events: self.has_delivered,
             is_framed: self.framing == BodyFraming::Stated,
         }
     }
--- a/crates/cactusbarrow_gateway/src/generation/stream.rs
+++ b/crates/cactusbarrow_gateway/src/generation/stream.rs
@@ -370,9 +370,6 @@
         let mut has_progress = false;
         if let Some(running) = self.running.take() {
             has_progress = running.attempt.has_read_prompt();
-            if has_progress {
-                self.end.record_break();
-            }
             self.holder = self.usable_holder(&running).cloned();
             let key = self.holder.as_ref().map(|holder| holder.key);
             self.plan.record_holder(key);
@@ -389,6 +386,9 @@
             return false;
         };
         let end = running.attempt.end();
+        if !end.has_events && self.last_event_at.is_some() {
+            self.end.record_break();
+        }
         let shared = &self.req.shared;
         let (service, excluded) = (&self.req.service, self.plan.excluded());
         let is_only_engine = excluded.len() == 1
@@ -469,7 +469,7 @@
             return Err(ResumeEvent::Broken);
         }
         self.last_event = Some(id);
-        self.end.record_event();
+        self.record_delivery();
         self.plan.record_progress();
         self.wait_count = 0;
         let now = self.req.shared.now();
@@ -485,6 +485,16 @@
         Ok(event.bytes)
     }
 
+    /// Records that the current attempt delivers an event; an earlier one that did has broken off.
+    fn record_delivery(&mut self) {
+        let running = self.running.as_mut();
+        let is_first = running.is_some_and(|running| running.attempt.record_delivery());
+        if is_first && self.last_event_at.is_some() {
+            self.end.record_break();
+        }
+        self.end.record_event();
+    }
+
     /// Records which software version brought the first event.
     fn record_origin(&mut self) {
         let Some(running) = &self.running else {
--- a/crates/cactusbarrow_gateway/tests/streams_ended_by_errors.rs
+++ b/crates/cactusbarrow_gateway/tests/streams_ended_by_errors.rs
@@ -5,6 +5,7 @@
 
 use std::collections::VecDeque;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use bytes::Bytes;
 use cactusbarrow_adapter_standins::{CallerHead, DEFAULT_SOFTWARE, entry_json_with_software};
@@ -23,6 +24,12 @@
 /// Text of an error, which must not reach the caller beside events.
 const ERROR: &str = "engine exploded";
 
+/// Stands for a pause of a sound engine in the bytes of a response.
+const PAUSE: &str = "PAUSE";
+
+/// Time for which the engine then sends nothing, longer than the time-out of a stall.
+const PAUSE_TIME: Duration = Duration::from_millis(3_500);
+
 /// How an engine ends its connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum End {
@@ -414,10 +421,16 @@
             .unwrap_or_else(|| rest(last))
     };
     let bytes = reply.bytes.replace("ID", id);
-    let _ = conn.write_all(bytes.as_bytes()).await;
+    let mut parts = bytes.split(PAUSE);
+    let first = parts.next().unwrap_or("");
+    let _ = conn.write_all(first.as_bytes()).await;
+    for part in parts {
+        tokio::time::sleep(PAUSE_TIME).await;
+        let _ = conn.write_all(part.as_bytes()).await;
+    }
     if reply.end == End::Reset {
         // What was written arrives first.
-        tokio::time::sleep(std::time::Duration::from_millis(30)).await;
+        tokio::time::sleep(Duration::from_millis(30)).await;
         let _ = socket2::SockRef::from(&conn).set_linger(Some(std::time::Duration::ZERO));
     }
 }
@@ -533,3 +546,22 @@
     failures.check(received.is_whole(0), &case, &received);
     failures.assert_none();
 }
+
+/// Guards against whole streams that are taken for broken off: what was rejected or only suspected is no break.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_without_length_is_complete_after_rejected_bytes_or_a_pause() {
+    let engines = RawEngines::start(2).await;
+    let whole = reply("closed", stream_head("") + &events(1, LAST));
+    let foreign = reply("foreign bytes", chunked(&format!("{ERROR}\n\n")));
+    engines.set_script(&[foreign, whole], None);
+    let received = engines.stream("rejected", &[]).await;
+    assert!(received.is_whole(0), "{received:?}");
+
+    let (before, after) = (events(1, BROKEN_AT), events(BROKEN_AT + 1, LAST));
+    let paused = reply("paused", stream_head("") + &before + PAUSE + &after);
+    let not_executed = "cactusbarrow-not-executed: 1\r\n";
+    let full = with_length("503 Service Unavailable", not_executed, "");
+    engines.set_script(&[paused], Some(&reply("full", full)));
+    let received = engines.stream("paused", &[]).await;
+    assert!(received.is_whole(0), "{received:?}");
+}
