Bound no generation by the pace of fewer than five others

A gateway that has completed one generation since its start took it for the pace of its route, and admitted others in a stop by it: after one of 0.56 s with a cached prompt, one of the same size without was bounded by 1.74 s.

--- a/crates/cactusbarrow_policy/src/generation_pace.rs
+++ b/crates/cactusbarrow_policy/src/generation_pace.rs
@@ -13,8 +13,7 @@
 /// Weight of the newest generation in the moving averages.
 const NEWEST_WEIGHT: f64 = 0.1;
 
-/// Number of complete generations of a route that are measured before any of its requests
-/// is refused.
+/// Number of complete generations of a route that are measured before anything is concluded from them.
 const MIN_SAMPLES: u32 = 5;
 
 /// Age of a route's newest measurement from which no request is refused: while all requests
@@ -187,8 +186,8 @@
         time_left.as_secs_f64() > read + missing * pace.event_interval_secs
     }
 
-    /// Returns the time that a generation of a route is assumed to take at most; `None` if none of the route
-    /// has completed yet.
+    /// Returns the time that a generation of a route is assumed to take at most; `None` if too few of the route
+    /// have completed to tell.
     ///
     /// `is_prompt_read` tells whether its first event has arrived. A cached prompt counts as unread: the
     /// engine that has it may decline the generation.
@@ -198,7 +197,9 @@
         size: &GenerationSize,
         is_prompt_read: bool,
     ) -> Option<Duration> {
-        let longest = self.routes.get(route)?.longest_secs(size, is_prompt_read);
+        let pace = self.routes.get(route);
+        let pace = pace.filter(|pace| pace.samples >= MIN_SAMPLES)?;
+        let longest = pace.longest_secs(size, is_prompt_read);
         Some(Duration::try_from_secs_f64(longest).unwrap_or(Duration::MAX))
     }
 }
--- a/crates/cactusbarrow_policy/tests/generation_pace.rs
+++ b/crates/cactusbarrow_policy/tests/generation_pace.rs
@@ -255,3 +255,15 @@
         prop_assert!(late * 50 <= judged, "{late} of {judged}");
     }
 }
+
+/// Guards against long generations that a stopping gateway admits by the pace of the only one that it has completed.
+#[test]
+fn few_generations_bound_none() {
+    let mut pace = GenerationPace::default();
+    for _ in 0..4 {
+        pace.record(ROUTE, &typical_times());
+        assert_eq!(pace.longest(ROUTE, &SIZE, false), None);
+    }
+    pace.record(ROUTE, &typical_times());
+    assert!(pace.longest(ROUTE, &SIZE, false).is_some());
+}
