Take what a late page does not tell for unknown

Found by the review from reading: a page that another write had left was read for its versions, but not for whether it is complete, of this era, or damaged, as pages are at a start. Both now take the same path. No test of its own; versions_joining and software_versions pass.

--- a/crates/cactusbarrow_gateway/src/origin_store.rs
+++ b/crates/cactusbarrow_gateway/src/origin_store.rs
@@ -211,14 +211,12 @@
 /// Records what another write has left on a page since it was read: an earlier incarnation's, or an earlier one of
 /// this gateway that was not answered.
 fn record_late_page<C: Clock>(shared: &Shared<C>, item: &KeyValue) {
-    let Some(page) = decode_page(item) else {
-        return;
-    };
-    record_origins(shared, &page);
-    let retention = OriginConfig::default().retention;
-    let served = served_page(shared, &page).filter(|served| served.age < retention);
-    for (service, software) in served.into_iter().flat_map(|served| served.served) {
-        shared.versions().record(service, software, shared.now());
+    match decode_page(item) {
+        Some(page) => {
+            record_origins(shared, &page);
+            record_served(shared, &page, shared.servers_position().era);
+        }
+        None => shared.versions().record_unknown(shared.now()),
     }
 }
 
