Judge callers short of time in the soak by the size of their own generation

Found by the review: a stream attempt with under 18 s left was excused while nothing is disrupted, whatever its size, and a stream that its caller read slowly counted as cut at the deadline although it was cut before. Each is now judged by the time that its own size takes at the slowest pace, and by when its run ended.

--- a/examples/soak/callers.rs
+++ b/examples/soak/callers.rs
@@ -17,10 +17,12 @@
 use crate::balancer::Balancer;
 use crate::client::{Client, SentWhole, draw_body};
 use crate::environment::{
-    ENGINE_PACE, EVENTS_PER_GENERATION, Environment, PERMANENT_KEY, SERVICES, lock, version_key,
+    ENGINE_PACE, EVENT_INTERVAL, EVENTS_PER_GENERATION, Environment, PERMANENT_KEY, SERVICES, lock,
+    version_key,
 };
 use crate::ledger::{Attempt, Ledger, Scope};
 use crate::process::gateway_ip;
+use crate::scenarios::SLOWDOWN;
 
 /// Time that a caller waits for the response to a call.
 const CALL_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -85,6 +87,14 @@
         Self { prompt, output }
     }
 
+    /// Returns the time that the generation takes at the slowest pace of its engine.
+    fn longest_time(self) -> Duration {
+        let read = Duration::from_millis(self.prompt / ENGINE_PACE.prompt_tokens_per_ms);
+        let events = self.output / ENGINE_PACE.tokens_per_event;
+        let write = EVENT_INTERVAL.mul_f64(events as f64 * SLOWDOWN.end);
+        read + write + CALLER_DELAY_ALLOWANCE
+    }
+
     /// Returns the value of the header that names the tokens.
     fn header(self) -> String {
         format!("{},{}", self.prompt, self.output)
@@ -125,6 +135,8 @@
     http: HttpClient,
     /// Client of the load balancer, if the caller connects through it.
     client: Option<Client>,
+    /// Time that the current request takes at the slowest pace of its engine, if that depends on its size.
+    needed: Duration,
     rng: StdRng,
 }
 
@@ -144,6 +156,7 @@
             shared,
             http: HttpClient::new(HttpVersion::Http1),
             client: None,
+            needed: Duration::ZERO,
             rng: StdRng::seed_from_u64(seed),
         }
     }
@@ -212,6 +225,7 @@
             gateway,
             sent_at: now,
             timeout: Duration::from_millis(head.deadline_ms),
+            needed: self.needed,
             sent_whole_at: None,
             answered_at: None,
             ended_at: now,
@@ -328,6 +342,7 @@
     }
 
     async fn call(&mut self, kind: &'static str) {
+        self.needed = Duration::ZERO;
         let id = self.shared.create_id(kind);
         let gateway = self.draw_gateway().await;
         let path = format!("/{kind}/a");
@@ -431,6 +446,7 @@
         let expected = size.map_or(EVENTS_PER_GENERATION, |size| {
             size.output / ENGINE_PACE.tokens_per_event
         });
+        self.needed = size.map_or(Duration::ZERO, GenerationTokens::longest_time);
         let started = Instant::now();
         let mut progress = Progress::default();
         while started.elapsed() < timeout {
--- a/examples/soak/checks.rs
+++ b/examples/soak/checks.rs
@@ -35,9 +35,6 @@
 /// server work goes on.
 const UNCUT_GRACE_SHARE: f64 = 5.0 / 6.0;
 
-/// Duration of the longest generation at the slowest pace of the engines.
-const LONGEST_GENERATION: Duration = Duration::from_secs(18);
-
 /// Time within which gateways notice that a paused server is back.
 const RETURN_DETECTION_BOUND: Duration = Duration::from_millis(500);
 
@@ -141,7 +138,7 @@
     // A gateway that stops may close a connection on which it has not read a request.
     let is_accepted = !runs.is_empty() || since_sent > LOSS_BOUND + CALLER_DELAY_ALLOWANCE;
     let is_excused = is_cut_in_last_grace(ledger, environment.grace, attempt, runs)
-        || is_stream_cut_at_deadline(attempt);
+        || is_stream_cut_at_deadline(attempt, runs);
     if attempt.status.is_none() && is_accepted && is_unexcused && !is_excused {
         let text = describe_loss(ledger, id, attempt, runs);
         ledger.record_violation(
@@ -159,12 +156,10 @@
     attempt: &Attempt,
     runs: &[&Run],
 ) -> bool {
-    // The caller observes the end after the gateway has exited; one that reads slowly, long after.
-    let cuts = runs.iter().filter_map(|run| run.end.get());
-    let cut_at = cuts.filter(|end| !end.is_complete).map(|end| end.at).max();
-    let seen_at = cut_at.map_or(attempt.ended_at, |at| at.min(attempt.ended_at));
-    let at = seen_at.checked_sub(CALLER_DELAY_ALLOWANCE);
-    let at = at.unwrap_or(seen_at);
+    // The end is observed after the gateway has exited.
+    let cut_at = cut_at(attempt, runs);
+    let at = cut_at.checked_sub(CALLER_DELAY_ALLOWANCE);
+    let at = at.unwrap_or(cut_at);
     ledger.was_stopping(attempt.gateway, at, |stop_at| {
         let may_cut_at = stop_at + grace.mul_f64(UNCUT_GRACE_SHARE);
         let is_at_work = |run: &&Run| run.end.get().is_none_or(|end| end.at >= may_cut_at);
@@ -175,8 +170,15 @@
 }
 
 /// Returns whether a stream was still running at the deadline of its caller.
-fn is_stream_cut_at_deadline(attempt: &Attempt) -> bool {
-    attempt.answered_at.is_some() && attempt.ended_at >= attempt.sent_at + attempt.timeout
+fn is_stream_cut_at_deadline(attempt: &Attempt, runs: &[&Run]) -> bool {
+    attempt.answered_at.is_some() && cut_at(attempt, runs) >= attempt.sent_at + attempt.timeout
+}
+
+/// Returns when an attempt without a complete response was cut: its caller observes that later if it reads slowly.
+fn cut_at(attempt: &Attempt, runs: &[&Run]) -> Instant {
+    let ends = runs.iter().filter_map(|run| run.end.get());
+    let cut = ends.filter(|end| !end.is_complete).map(|end| end.at).max();
+    cut.map_or(attempt.ended_at, |at| at.min(attempt.ended_at))
 }
 
 /// Describes an attempt without a complete response, with times since the last stop signal of its gateway, or
@@ -231,7 +233,8 @@
     let is_probe = kinds_without_promise.any(|prefix| id.starts_with(prefix));
     let is_excused = is_probe
         || is_excused_by_pause(ledger, attempt, environment)
-        || is_short_of_time(id, attempt, environment);
+        // The rest of the caller's time does not suffice.
+        || attempt.timeout < attempt.needed;
     if attempt.status != Some(200) && !is_excused {
         let gateway = attempt.gateway;
         let duration = attempt.ended_at - attempt.sent_at;
@@ -243,12 +246,6 @@
     }
 }
 
-/// Returns whether the rest of its caller's time does not suffice for a generation of any length.
-fn is_short_of_time(id: &str, attempt: &Attempt, environment: &Environment) -> bool {
-    let is_generation = id.starts_with("stream-");
-    is_generation && environment.has_pace() && attempt.timeout < LONGEST_GENERATION
-}
-
 /// Returns whether an attempt could not succeed because backend servers were paused.
 fn is_excused_by_pause(ledger: &Ledger, attempt: &Attempt, environment: &Environment) -> bool {
     let mut backends = environment.backends_of_service(attempt.service);
--- a/examples/soak/environment.rs
+++ b/examples/soak/environment.rs
@@ -25,7 +25,7 @@
 };
 
 /// Time between two events of a generation.
-const EVENT_INTERVAL: Duration = Duration::from_millis(30);
+pub(crate) const EVENT_INTERVAL: Duration = Duration::from_millis(30);
 
 /// Number of backend servers of the plain service.
 const PLAIN_SERVICE_BACKENDS: usize = 3;
@@ -343,11 +343,6 @@
         }
     }
 
-    /// Returns whether the engines run generations of different lengths.
-    pub(crate) fn has_pace(&self) -> bool {
-        lock(&self.pace).is_some()
-    }
-
     /// Kills an instance.
     pub(crate) fn kill(&self, index: usize) {
         lock(&self.backends[index]).standin.kill();
--- a/examples/soak/ledger.rs
+++ b/examples/soak/ledger.rs
@@ -102,6 +102,8 @@
     pub(crate) sent_at: Instant,
     /// Time that its caller waits.
     pub(crate) timeout: Duration,
+    /// Time that it takes at the slowest pace of its engine, if that depends on its size.
+    pub(crate) needed: Duration,
     /// When its last byte was handed over for sending, if it was and that was noted.
     pub(crate) sent_whole_at: Option<Instant>,
     /// When the head of the response arrived, if it did.
--- a/examples/soak/scenarios.rs
+++ b/examples/soak/scenarios.rs
@@ -106,7 +106,7 @@
 const SLOW_PROBABILITY: f64 = 0.4;
 
 /// Factor by which they are slower.
-const SLOWDOWN: std::ops::Range<f64> = 1.2..2.5;
+pub(crate) const SLOWDOWN: std::ops::Range<f64> = 1.2..2.5;
 
 /// Indices of injectors that take the steps of series; they distinguish their seeds.
 const SERIES_INDICES: std::ops::Range<u64> = 1_000..1_000_000_000;
