Keep routers and agents running on SIGHUP

The review sent SIGHUP to a router and an agent: both ended at once (exit status 129), without a line in their logs, and what they served was lost. Only the gateway handled the signal. All daemons now use the same handlers; router and agent log that the settings are read at the next start. The test of the processes sends it before the graceful stop, which ended with another exit status before.

--- a/crates/cactusbarrow_daemon/src/gateway.rs
+++ b/crates/cactusbarrow_daemon/src/gateway.rs
@@ -6,13 +6,12 @@
 use anyhow::Context;
 use cactusbarrow_adapter::{GatewaySettings, SETTINGS_VARIABLE, parse_settings};
 use cactusbarrow_net::SystemClock;
-use tokio::signal::unix::{Signal, SignalKind};
 use tokio_util::sync::CancellationToken;
 
 use crate::admin::{self, Status};
 use crate::line_queue::LineQueue;
 use crate::logs;
-use crate::stop_signals::{self, StopSignals};
+use crate::signals::Signals;
 
 /// Longest time for which the exit waits until the log has been written; it ends before the grace period does.
 const LOG_FLUSH_TIMEOUT: Duration = Duration::from_millis(150);
@@ -66,8 +65,7 @@
 }
 
 async fn serve(file: &Path, settings: GatewaySettings) -> anyhow::Result<bool> {
-    let mut stop = StopSignals::register()?;
-    let mut hangup = stop_signals::register(SignalKind::hangup())?;
+    let mut signals = Signals::register()?;
     let metrics = admin::install_metrics_recorder()?;
     let (name, callers, admin_addr) = (settings.name.clone(), settings.callers, settings.metrics);
     let status = tokio::sync::watch::Sender::new(Status {
@@ -98,7 +96,7 @@
             });
         }
     });
-    wait_for_stop_signal(file, &mut stop, &mut hangup).await;
+    signals.wait_for_stop(|| validate_file(file)).await;
     status.send_modify(|status| status.ready = false);
     let is_clean = handle.stop().await;
     log::info!(clean = is_clean; "gateway stopped");
@@ -106,16 +104,6 @@
     Ok(is_clean)
 }
 
-/// Waits for a stop signal; validates the settings file on each SIGHUP.
-async fn wait_for_stop_signal(file: &Path, stop: &mut StopSignals, hangup: &mut Signal) {
-    loop {
-        tokio::select! {
-            () = stop.recv() => return,
-            _ = hangup.recv() => validate_file(file),
-        }
-    }
-}
-
 /// Validates a changed settings file, whose addresses and limits take effect at the next start.
 fn validate_file(file: &Path) {
     match parse_file(file) {
--- a/crates/cactusbarrow_daemon/src/lib.rs
+++ b/crates/cactusbarrow_daemon/src/lib.rs
@@ -10,7 +10,7 @@
 mod logs;
 mod run;
 mod settings;
-mod stop_signals;
+mod signals;
 
 pub use line_limiter::{CallSite, LineLimiter, LineVerdict};
 pub use run::main;
--- a/crates/cactusbarrow_daemon/src/run.rs
+++ b/crates/cactusbarrow_daemon/src/run.rs
@@ -15,7 +15,7 @@
 use crate::gateway;
 use crate::logs;
 use crate::settings::{AgentSettings, RouterSettings, read_settings};
-use crate::stop_signals::StopSignals;
+use crate::signals::Signals;
 
 const EXIT_USAGE: u8 = 2;
 const EXIT_FAILED: u8 = 1;
@@ -89,7 +89,7 @@
         settings.log_level.into(),
         std::io::stderr(),
     )?;
-    let mut stop = StopSignals::register()?;
+    let mut signals = Signals::register()?;
     let metrics = admin::install_metrics_recorder()?;
     let shutdown = CancellationToken::new();
     let store = ConsulStore::new(settings.store);
@@ -118,7 +118,7 @@
             });
         }
     });
-    stop.recv().await;
+    signals.wait_for_stop(log_unread_settings).await;
     status.send_modify(|status| status.ready = false);
     let is_clean = handle.stop().await;
     stop_admin.cancel();
@@ -131,7 +131,7 @@
         settings.log_level.into(),
         std::io::stderr(),
     )?;
-    let mut stop = StopSignals::register()?;
+    let mut signals = Signals::register()?;
     let metrics = admin::install_metrics_recorder()?;
     let shutdown = CancellationToken::new();
     let cfg = settings.to_config();
@@ -157,9 +157,13 @@
             status_tx.send_modify(|status| status.revision = revision);
         }
     });
-    stop.recv().await;
+    signals.wait_for_stop(log_unread_settings).await;
     status.send_modify(|status| status.ready = false);
     let is_clean = handle.stop().await;
     stop_admin.cancel();
     Ok(is_clean)
 }
+
+fn log_unread_settings() {
+    log::info!("the settings file is read at the next start only");
+}
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -36,11 +36,15 @@
         Self(child)
     }
 
-    fn terminate(&mut self) -> i32 {
+    fn signal(&self, name: &str) {
         Command::new("kill")
-            .args(["-TERM", &self.0.id().to_string()])
+            .args([name, &self.0.id().to_string()])
             .status()
             .expect("a signal can be sent");
+    }
+
+    fn terminate(&mut self) -> i32 {
+        self.signal("-TERM");
         self.0.wait().expect("the daemon ends").code().unwrap_or(-1)
     }
 }
@@ -182,6 +186,9 @@
     assert_eq!(transcript.tokens.len(), TOKENS);
     assert!(!transcript.text.contains('\u{fffd}'), "{}", transcript.text);
 
+    // A changed settings file ends no process.
+    agent_two.process.signal("-HUP");
+    router.signal("-HUP");
     assert_eq!(agent_two.process.terminate(), 0);
     assert_eq!(router.terminate(), 0);
 }
