--- a/crates/cactusbarrow_gateway/tests/cut_heads.rs
+++ b/crates/cactusbarrow_gateway/tests/cut_heads.rs
@@ -12,7 +12,7 @@
 use raw_server::{ConnectionEnd, RawResponseBytes, RawServer};
 use tokio::task::JoinSet;
 
-/// Time budget of a caller whose request no server answers.
+/// Time-out of a caller whose request no server answers.
 const DEADLINE_MS: u64 = 700;
 
 const ENDS: [ConnectionEnd; 2] = [ConnectionEnd::Close, ConnectionEnd::Reset];
