Wait in a test for the page that a gateway writes once the store serves it

Cause: the reader of the gateway's own pages backs off for up to two seconds while the store is busy, apart from the list, so the page came 1.12, 1.46 and 1.57 s after readiness in 3 of 12 runs, within 0.6 s in the others. That a page comes within a second is promised nowhere; a request waits for it.

The test now waits for the page, checks each page that it sees on the way, and looks once more a second later, so a page without an era or versions still fails it at any of these moments.

--- a/crates/cactusbarrow_gateway/tests/unwritten_origins.rs
+++ b/crates/cactusbarrow_gateway/tests/unwritten_origins.rs
@@ -136,13 +136,23 @@
     tokio::time::sleep(ADOPTION_TIME).await;
     cluster.store.set_mode(StoreMode::Serving);
     gateway.wait_until_ready().await;
+    // The gateway backs off before it calls the store again, for longer the longer the store was busy.
+    eventually("the gateway writes its page", || {
+        assert_pages_tell_versions(&cluster) > 0
+    })
+    .await;
     tokio::time::sleep(MEETING_TIME).await;
+    assert_pages_tell_versions(&cluster);
+}
+
+/// Asserts that each page names its store's era and the versions that serve; returns the number of pages.
+fn assert_pages_tell_versions(cluster: &TestCluster) -> usize {
     let pages = cluster.store.values("streams/");
-    assert!(!pages.is_empty(), "the gateway writes its page");
-    for page in pages {
-        let page = StreamOriginPage::decode(&*page).expect("a page");
+    for page in &pages {
+        let page = StreamOriginPage::decode(&**page).expect("a page");
         assert!(page.store_era > 0 && !page.served.is_empty(), "{page:?}");
     }
+    pages.len()
 }
 
 /// Load pattern: the store returns to an older copy after the end of the gateway.
