List generations that a stop cuts because their engine slows down

What callers see: a stream that a stopping gateway admits later than three seconds after SIGTERM breaks off at the exit, if its engine becomes much slower than the pace by which it was admitted.

It stays red, listed: by the only certain bound, the caller's deadline, a stopping gateway would refuse nearly all short generations, and the one cut in this way can be resumed.

--- a/tests/gateway_stops.rs
+++ b/tests/gateway_stops.rs
@@ -7,13 +7,14 @@
 use std::time::Duration;
 
 use cactusbarrow_adapter_standins::{
-    BackendStandin, CallerHead, StoreStandin, config_json, entry_json, settings_yaml_with_grace,
+    BackendStandin, CallerHead, EnginePace, StoreStandin, config_json, entry_json,
+    settings_yaml_with_grace,
 };
 use cactusbarrow_net::{Body, HttpClient, HttpVersion};
 use http_body_util::BodyExt;
 use rustix::process::{Pid, Signal, kill_process};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpSocket;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::JoinSet;
 
 const KEY: &str = "key-of-stops";
@@ -236,3 +237,56 @@
         "{read:?} {log}"
     );
 }
+
+/// Guards against generations that a stopping gateway admits late by the pace of others, and cuts at its exit because
+/// their engine slows down.
+#[tokio::test(flavor = "multi_thread")]
+async fn generation_that_slows_down_in_a_stop_is_not_cut() {
+    const MEASURED: usize = 10;
+    /// Time since the signal from which a cut is not excused by a generation that began early.
+    const LATE: Duration = Duration::from_millis(3_300);
+    let pace = |slowdown| {
+        Some(EnginePace {
+            prompt_tokens_per_ms: 5,
+            tokens_per_event: 8,
+            slowdown,
+        })
+    };
+    let store = start_store().await;
+    let engine = BackendStandin::start("engine", 0, Duration::from_millis(25))
+        .await
+        .expect("start an engine");
+    engine.set_pace(pace(1.0));
+    let entry = entry_json("llm", engine.addr(), "zona-pa", "ready");
+    store.put("servers/engine", &entry);
+    let mut gateway = GatewayProcess::start("127.0.91.5", store.addr(), LONG_GRACE);
+    gateway.wait_for_line("backend server listed");
+    let http = HttpClient::new(HttpVersion::Http1);
+    let send = async |id: &str| {
+        let head = CallerHead {
+            request_id: id,
+            path: "/stream/a",
+            key: KEY,
+            deadline_ms: 25_000,
+            extra: &[("cactusbarrow-token-usage", "500,320")],
+        };
+        let req = head.encode(gateway.callers, "POST", Body::full("the body"));
+        http.send("call", req).await.expect("a response")
+    };
+    for i in 0..MEASURED {
+        let res = send(&format!("measured-{i}")).await;
+        assert!(res.into_body().collect().await.is_ok(), "nothing stops");
+    }
+    let mut open = TcpStream::connect(gateway.callers).await.expect("connect");
+    open.write_all(b"POST ").await.expect("send");
+    gateway.signal(Signal::TERM);
+    tokio::time::sleep(LATE).await;
+    let res = send("late").await;
+    if res.status() == 200 {
+        engine.set_pace(pace(8.0));
+        assert!(res.into_body().collect().await.is_ok(), "it was cut");
+    } else {
+        assert_eq!(res.status(), 503);
+        assert_eq!(engine.runs().len(), MEASURED, "it did not run");
+    }
+}
