State no end of a body behind an agent that its service did not state

Callers of a router got a plain service's response without length and chunks as a whole one: with chunks, with a length if the call was unrepeatable, and as a stream of HTTP/2 that ended in order. Such a body ends with its connection, so a service that stopped early looked complete.

The agent's own response to the router is of HTTP/2 and always states an end. How the service told it was lost there.

The agent now tells the router in an internal header, which services cannot set; it is held with the response of a claimed call for retries. `BodyFraming::apply` frames the response to the caller, at the gateway as before and now at the router. It takes any body instead of whole bytes, since the router passes bodies on as they arrive: over HTTP/1 the body ends with the connection, and a body that fails resets the connection, since a close would be its end. HTTP/2 has no such end, so the stream is aborted behind the body.

--- a/crates/cactusbarrow_agent/src/calls.rs
+++ b/crates/cactusbarrow_agent/src/calls.rs
@@ -4,11 +4,13 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use cactusbarrow_net::{Body, Clock, NetError, RequestBody, collect_limited};
+use cactusbarrow_net::{Body, BodyFraming, Clock, NetError, RequestBody, collect_limited};
 use cactusbarrow_policy::{ClaimNonce, KeyHash, Outcome, Reason, Work};
-use cactusbarrow_protocol::{ANSWER_PATH, CALL_PATH, CLAIM_NONCE_HEADER, KEY_HASH_HEADER};
+use cactusbarrow_protocol::{
+    ANSWER_PATH, CALL_PATH, CLAIM_NONCE_HEADER, KEY_HASH_HEADER, UNFRAMED_HEADER,
+};
 use http::request::Parts;
-use http::{HeaderMap, Request, Response, StatusCode, header};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header, response};
 use hyper::body::Incoming;
 use tokio::sync::watch;
 
@@ -18,6 +20,9 @@
 /// Largest body of a claimed call or of its response, in bytes.
 const MAX_CLAIMED_BYTES: usize = 4 << 20;
 
+/// Step that errors of calls name.
+const CALL_STEP: &str = "call service";
+
 /// Headers that apply to a single connection and are not forwarded.
 const HOP_BY_HOP_HEADERS: [header::HeaderName; 6] = [
     header::CONNECTION,
@@ -81,7 +86,7 @@
         Ok(req) => req,
         Err(e) => return invalid_call_response(&e),
     };
-    match agent.http.send("call service", req).await {
+    match send(agent, req).await {
         Ok(res) => stream_response(agent, res, permit),
         Err(e) => call_error_response(agent, &e),
     }
@@ -94,8 +99,7 @@
     permit: AgentPermit<C>,
 ) -> Response<Body> {
     use http_body_util::BodyExt;
-    let (mut parts, mut incoming) = res.into_parts();
-    remove_hop_by_hop_headers(&mut parts.headers);
+    let (parts, mut incoming) = res.into_parts();
     let (tx, body) = Body::channel();
     agent.tasks.spawn(async move {
         let _permit = permit;
@@ -181,16 +185,37 @@
     agent: &Agent<C>,
     req: Request<Body>,
 ) -> Result<Response<Bytes>, NetError> {
-    const STEP: &str = "call service";
     let peer = agent.cfg.backend.to_string();
-    let (mut parts, body) = agent.http.send(STEP, req).await?.into_parts();
+    let (parts, body) = send(agent, req).await?.into_parts();
     let body = collect_limited(body, MAX_CLAIMED_BYTES, &peer)
         .await?
-        .ok_or_else(|| NetError::new(STEP, &peer, "response body is too large"))?;
-    remove_hop_by_hop_headers(&mut parts.headers);
+        .ok_or_else(|| NetError::new(CALL_STEP, &peer, "response body is too large"))?;
     Ok(Response::from_parts(parts, body))
 }
 
+/// Sends a call to the service and returns its response, with the head that routers get.
+async fn send<C: Clock>(
+    agent: &Agent<C>,
+    req: Request<Body>,
+) -> Result<Response<Incoming>, NetError> {
+    let method = req.method().clone();
+    let (mut head, body) = agent.http.send(CALL_STEP, req).await?.into_parts();
+    let framing = BodyFraming::of_response(&method, &head)
+        .map_err(|e| NetError::new(CALL_STEP, agent.cfg.backend, e))?;
+    remove_hop_by_hop_headers(&mut head.headers);
+    set_framing(&mut head, framing);
+    Ok(Response::from_parts(head, body))
+}
+
+/// Tells the router whether the service stated the end of the body, since each response of the agent does.
+fn set_framing(head: &mut response::Parts, framing: BodyFraming) {
+    head.headers.remove(UNFRAMED_HEADER);
+    if framing == BodyFraming::ConnectionEnd {
+        let is_unframed = HeaderValue::from_static("1");
+        head.headers.insert(UNFRAMED_HEADER, is_unframed);
+    }
+}
+
 async fn await_response(
     mut rx: watch::Receiver<Option<Option<Response<Bytes>>>>,
 ) -> Response<Body> {
--- a/crates/cactusbarrow_gateway/src/call.rs
+++ b/crates/cactusbarrow_gateway/src/call.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use cactusbarrow_adapter::{EngineRequest, EngineResponse, decode_engine_response};
-use cactusbarrow_net::{Body, BodyFraming, Clock, collect_limited, unframed_response};
+use cactusbarrow_net::{Body, BodyFraming, Clock, collect_limited};
 use cactusbarrow_policy::{
     BackendEntry, BackendKey, CallAction, CallEvent, CallPlan, LossCause, Outcome, Reason,
     RequestParts,
@@ -75,7 +75,7 @@
         }
     };
     let res = match result {
-        Ok(Ok(response)) => deliver(&req, response).await,
+        Ok(Ok(response)) => deliver(&req, response),
         Ok(Err(refusal)) => refuse(&req, &refusal),
         Err(_) => refuse(&req, &plan_refusal(&req, &plan, Reason::RouteTimeout)),
     };
@@ -369,7 +369,7 @@
     }
 }
 
-async fn deliver<C: Clock>(req: &AdmittedRequest<C>, response: CallResponse) -> Response<Body> {
+fn deliver<C: Clock>(req: &AdmittedRequest<C>, response: CallResponse) -> Response<Body> {
     log::info!(
         request_id = req.caller.request_id.as_str(),
         kind = req.kind.name(),
@@ -379,14 +379,10 @@
         elapsed_ms = elapsed_ms(req, req.arrived);
         "call answered"
     );
-    // The caller is told no end that the backend server did not state.
-    let mut res = match response.framing {
-        BodyFraming::Stated => Response::new(Body::full(response.body)),
-        BodyFraming::ConnectionEnd => unframed_response(response.body).await,
-    };
+    let mut res = Response::new(Body::full(response.body));
     *res.status_mut() = response.head.status;
-    res.headers_mut().extend(response.head.headers);
-    res
+    *res.headers_mut() = response.head.headers;
+    response.framing.apply(res)
 }
 
 fn refuse<C: Clock>(req: &AdmittedRequest<C>, refusal: &Refusal) -> Response<Body> {
--- a/crates/cactusbarrow_net/src/body.rs
+++ b/crates/cactusbarrow_net/src/body.rs
@@ -11,7 +11,7 @@
 use hyper::body::Incoming;
 use tokio::sync::mpsc;
 
-use crate::{NetError, RequestBody, TimedBody};
+use crate::{NetError, RequestBody, TimedBody, UnframedBody};
 
 /// Chunks that are buffered for a slow receiver before the sender has to wait.
 const STREAM_BUFFER_CHUNKS: usize = 64;
@@ -28,6 +28,9 @@
     /// The body was not complete by its deadline.
     #[error("body was not complete by its deadline")]
     TimedOut,
+    /// The sender of the body did not state its end, which the receiver's protocol requires.
+    #[error("end of the body was not stated")]
+    EndNotStated,
     /// The connection that the body was received on failed.
     #[error(transparent)]
     Connection(#[from] hyper::Error),
@@ -103,6 +106,8 @@
     Request(RequestBody),
     /// Body received from a peer, forwarded until a deadline.
     Timed(TimedBody),
+    /// Body whose end its sender did not state.
+    Unframed(UnframedBody),
 }
 
 impl Body {
@@ -150,6 +155,7 @@
                 .map_err(BodyError::Connection),
             Self::Request(body) => Pin::new(body).poll_frame(cx).map_err(BodyError::Connection),
             Self::Timed(body) => Pin::new(body).poll_frame(cx),
+            Self::Unframed(body) => body.poll_frame(cx),
         }
     }
 
@@ -157,7 +163,7 @@
         match self {
             Self::Empty => true,
             Self::Full(bytes) => bytes.is_empty(),
-            Self::Stream(_) => false,
+            Self::Stream(_) | Self::Unframed(_) => false,
             Self::Incoming(incoming) => incoming.is_end_stream(),
             Self::Request(body) => body.is_end_stream(),
             Self::Timed(body) => body.is_end_stream(),
@@ -168,7 +174,7 @@
         match self {
             Self::Empty => SizeHint::with_exact(0),
             Self::Full(bytes) => SizeHint::with_exact(bytes.len() as u64),
-            Self::Stream(_) => SizeHint::default(),
+            Self::Stream(_) | Self::Unframed(_) => SizeHint::default(),
             Self::Incoming(incoming) => incoming.size_hint(),
             Self::Request(body) => body.size_hint(),
             Self::Timed(body) => body.size_hint(),
--- a/crates/cactusbarrow_net/src/framing.rs
+++ b/crates/cactusbarrow_net/src/framing.rs
@@ -3,7 +3,7 @@
 use http::header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderMap, HeaderValue, Method, Response, StatusCode, Version, response};
 
-use crate::Body;
+use crate::{Body, UnframedBody};
 
 /// How the end of a response's body is told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -48,6 +48,23 @@
             Self::ConnectionEnd
         })
     }
+
+    /// Frames a response to a caller accordingly, so that it states no end that was not stated here.
+    ///
+    /// A body without a stated end ends with the caller's connection. A stream of HTTP/2 cannot end so, and is
+    /// aborted behind such a body.
+    pub fn apply(self, mut res: Response<Body>) -> Response<Body> {
+        if self == Self::Stated {
+            return res;
+        }
+        // Responses of HTTP/1.1 without a length have chunks, whose last one states the end.
+        *res.version_mut() = Version::HTTP_10;
+        let headers = res.headers_mut();
+        headers.remove(CONTENT_LENGTH);
+        let close = HeaderValue::from_static("close");
+        headers.insert(CONNECTION, close);
+        res.map(|body| Body::Unframed(UnframedBody::new(body)))
+    }
 }
 
 /// Returns whether chunks are the only transfer coding; fails if there is any other.
@@ -59,17 +76,3 @@
         (Some(_), _) => Err(FramingError::UnknownCoding),
     }
 }
-
-/// Creates a response that states no end of its body, which ends with its connection.
-pub async fn unframed_response(body: bytes::Bytes) -> Response<Body> {
-    let (tx, streamed) = Body::channel();
-    // The receiver is held here, and its buffer is empty.
-    let _ = tx.send(body).await;
-    tx.finish();
-    let mut res = Response::new(streamed);
-    // Responses of HTTP/1.1 without a length have chunks, whose last one states the end.
-    *res.version_mut() = Version::HTTP_10;
-    let close = HeaderValue::from_static("close");
-    res.headers_mut().insert(CONNECTION, close);
-    res
-}
--- a/crates/cactusbarrow_net/src/lingering_stream.rs
+++ b/crates/cactusbarrow_net/src/lingering_stream.rs
@@ -26,24 +26,54 @@
     }
 }
 
+/// Whether a connection is reset instead of closed; clones share the value.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ConnectionReset(Arc<AtomicBool>);
+
+impl ConnectionReset {
+    /// Records that the connection is to be reset.
+    pub(crate) fn set(&self) {
+        self.0.store(true, Ordering::Release);
+    }
+
+    fn get(&self) -> bool {
+        self.0.load(Ordering::Acquire)
+    }
+}
+
 /// A stream that is read on after its writing half was closed, if a body was not read to its end.
 #[derive(Debug)]
 pub(crate) struct LingeringStream {
     stream: TcpStream,
     has_unread_body: HasUnreadBody,
+    reset: ConnectionReset,
     linger: Option<Linger>,
 }
 
 impl LingeringStream {
-    pub(crate) fn new(stream: TcpStream, has_unread_body: HasUnreadBody) -> Self {
+    pub(crate) fn new(
+        stream: TcpStream,
+        has_unread_body: HasUnreadBody,
+        reset: ConnectionReset,
+    ) -> Self {
         Self {
             stream,
             has_unread_body,
+            reset,
             linger: None,
         }
     }
 }
 
+impl Drop for LingeringStream {
+    fn drop(&mut self) {
+        if self.reset.get() {
+            // It fails only on a connection that has failed before.
+            let _ = self.stream.set_zero_linger();
+        }
+    }
+}
+
 impl AsyncRead for LingeringStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/crates/cactusbarrow_net/src/server.rs
+++ b/crates/cactusbarrow_net/src/server.rs
@@ -15,7 +15,7 @@
 use tokio_util::sync::CancellationToken;
 use tower::{Service, ServiceExt};
 
-use crate::lingering_stream::{HasUnreadBody, LingeringStream};
+use crate::lingering_stream::{ConnectionReset, HasUnreadBody, LingeringStream};
 use crate::{Body, NetError, RequestBody, UnreadBody, catch_panic};
 
 /// Delay after a failed accept, for instance when file descriptors run out.
@@ -106,10 +106,11 @@
     // Tokens are small writes, which Nagle's algorithm would delay behind one another.
     let _ = stream.set_nodelay(true);
     let has_unread_body = HasUnreadBody::default();
-    let stream = LingeringStream::new(stream, has_unread_body.clone());
+    let reset = ConnectionReset::default();
+    let stream = LingeringStream::new(stream, has_unread_body.clone(), reset.clone());
     let service = service_fn(move |mut req: Request<Incoming>| {
         req.extensions_mut().insert(PeerAddr(peer));
-        serve_request(service.clone(), req, has_unread_body.clone())
+        serve_request(service.clone(), req, has_unread_body.clone(), reset.clone())
     });
     let mut builder = Builder::new(TokioExecutor::new());
     builder
@@ -136,6 +137,7 @@
     service: S,
     req: Request<Incoming>,
     has_unread_body: HasUnreadBody,
+    reset: ConnectionReset,
 ) -> Result<Response<Body>, Infallible>
 where
     S: Service<Request<RequestBody>, Response = Response<Body>, Error = Infallible>,
@@ -151,6 +153,13 @@
             panic_response()
         }
     };
+    if let Body::Unframed(body) = res.body_mut() {
+        if is_multiplexed {
+            body.fail_at_end();
+        } else {
+            body.reset_on_failure(reset);
+        }
+    }
     // A stream of HTTP/2 ends without closing its connection.
     if !is_multiplexed && !unread.discard(is_continue_expected).await {
         has_unread_body.set();
--- a/crates/cactusbarrow_protocol/src/headers.rs
+++ b/crates/cactusbarrow_protocol/src/headers.rs
@@ -4,6 +4,8 @@
 pub const OUTCOME_HEADER: &str = "cactusbarrow-outcome";
 /// Response header: reason for the outcome.
 pub const REASON_HEADER: &str = "cactusbarrow-reason";
+/// Response header of an agent: `1` if the body ended with the service's connection, so that its end was not stated.
+pub const UNFRAMED_HEADER: &str = "cactusbarrow-unframed";
 /// Request header: idempotency key, unique within the customer.
 pub const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
 /// Request header: `1` if the caller has never sent this idempotency key before.
--- a/crates/cactusbarrow_router/src/calls.rs
+++ b/crates/cactusbarrow_router/src/calls.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use cactusbarrow_document::{Customer, Fleet, Service};
-use cactusbarrow_net::{Body, Clock, NetError, TimedBody};
+use cactusbarrow_net::{Body, BodyFraming, Clock, NetError, TimedBody};
 use cactusbarrow_platform::{HostList, Store};
 use cactusbarrow_policy::{
     Backoff, BalancingRequest, ClaimNonce, ClaimRequest, ClaimVerdict, KeyHash, Outcome, Reason,
@@ -14,10 +14,10 @@
 use cactusbarrow_protocol::generated::DirectoryEntry;
 use cactusbarrow_protocol::{
     ANSWER_PATH, CALL_PATH, CLAIM_NONCE_HEADER, FIRST_ATTEMPT_HEADER, KEY_HASH_HEADER,
-    OUTCOME_HEADER,
+    OUTCOME_HEADER, UNFRAMED_HEADER,
 };
 use http::request::Parts;
-use http::{HeaderValue, Request, Response, StatusCode, header};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 
 use crate::attempt::refusal_reason;
@@ -246,7 +246,10 @@
         .send_and_collect("find answer", req, time_left, MAX_CACHED_RESPONSE_BYTES)
         .await;
     match cached {
-        Ok(res) if !res.headers().contains_key(OUTCOME_HEADER) => Ok(res.map(Body::full)),
+        Ok(mut res) if !res.headers().contains_key(OUTCOME_HEADER) => {
+            let framing = take_framing(res.headers_mut());
+            Ok(framing.apply(res.map(Body::full)))
+        }
         _ => Err(unknown().with_peer(server.agent_address)),
     }
 }
@@ -319,11 +322,12 @@
     ] {
         headers.remove(name);
     }
-    // Callers must not set the headers that name the claim of a call or report its outcome.
+    // Callers must not set the headers that name the claim of a call, or that agents' responses have.
     for name in [
         CLAIM_NONCE_HEADER,
         KEY_HASH_HEADER,
         OUTCOME_HEADER,
+        UNFRAMED_HEADER,
         FIRST_ATTEMPT_HEADER,
     ] {
         headers.remove(name);
@@ -373,12 +377,22 @@
     let (mut parts, body) = res.into_parts();
     parts.headers.remove(header::CONNECTION);
     parts.headers.remove(header::TRANSFER_ENCODING);
+    let framing = take_framing(&mut parts.headers);
     if parts.status == StatusCode::NO_CONTENT {
         return Response::from_parts(parts, Body::Empty);
     }
     let time_left = call.deadline.saturating_duration_since(router.clock.now());
     let body = TimedBody::new(body, server.agent_address(), time_left);
-    Response::from_parts(parts, Body::Timed(body))
+    framing.apply(Response::from_parts(parts, Body::Timed(body)))
+}
+
+/// Returns how the service told the end of a body, and removes the header by which its agent states that.
+fn take_framing(headers: &mut HeaderMap) -> BodyFraming {
+    if headers.remove(UNFRAMED_HEADER).is_some() {
+        BodyFraming::ConnectionEnd
+    } else {
+        BodyFraming::Stated
+    }
 }
 
 async fn back_off(retries: u32) {
