Pass on the error of an engine without a length that it did not state

The caller of a generation got an engine's error response with a length also if the engine had stated none, so that an error whose body was cut looked whole. The gateway collected the body and dropped how its end was told.

The framing now stays with the response, and `BodyFraming::apply` delivers it as that of a call.

Evidence: `generation_gets_no_error_with_a_length_that_its_engine_did_not_state` failed on the code before for both bodies without length and chunks (404, one empty), and passes with the change.

--- a/crates/cactusbarrow_gateway/src/generation.rs
+++ b/crates/cactusbarrow_gateway/src/generation.rs
@@ -51,9 +51,9 @@
             let head = stream.take_head();
             respond(StatusCode::OK, head, Body::Empty)
         }
-        GenerationItem::Response(head, body) => {
+        GenerationItem::Response(head, body, framing) => {
             stream.mark_concluded();
-            respond(head.status, head.headers, Body::full(body))
+            framing.apply(respond(head.status, head.headers, Body::full(body)))
         }
         GenerationItem::Refused { outcome, reason } => {
             let refusal = match outcome {
--- a/crates/cactusbarrow_gateway/src/generation/attempt.rs
+++ b/crates/cactusbarrow_gateway/src/generation/attempt.rs
@@ -99,7 +99,7 @@
     /// The engine sends events.
     Streaming(Box<RunningAttempt<C>>),
     /// The engine sent a response that is not an event stream.
-    Responded(EngineResponse, Bytes),
+    Responded(EngineResponse, Bytes, BodyFraming),
     /// The engine sent no usable response.
     Failed(ResumeEvent),
     /// The deadline of the request has passed.
@@ -265,7 +265,7 @@
             };
             return OpenResult::Streaming(Box::new(RunningAttempt { attempt, copies }));
         }
-        classify_response(req, target.key, head, body).await
+        classify_response(req, target.key, head, (body, framing)).await
     }
 
     /// Returns whether the engine has read the prompt and sent its first event.
@@ -405,7 +405,7 @@
     req: &AdmittedRequest<C>,
     key: BackendKey,
     head: EngineResponse,
-    body: Incoming,
+    (body, framing): (Incoming, BodyFraming),
 ) -> OpenResult<C> {
     if !head.is_matching {
         log_foreign_response(&req.caller.request_id, &head);
@@ -430,7 +430,7 @@
         return OpenResult::Expired;
     };
     match collected {
-        Ok(Some(body)) => OpenResult::Responded(head, body),
+        Ok(Some(body)) => OpenResult::Responded(head, body, framing),
         Ok(None) => OpenResult::Failed(ResumeEvent::Broken),
         Err(e) => {
             log::info!(request_id = req.caller.request_id.as_str(); "response body not read: {e}");
--- a/crates/cactusbarrow_gateway/src/generation/stream.rs
+++ b/crates/cactusbarrow_gateway/src/generation/stream.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use cactusbarrow_adapter::{EngineResponse, is_generation_event};
-use cactusbarrow_net::{Clock, RawEvent};
+use cactusbarrow_net::{BodyFraming, Clock, RawEvent};
 use cactusbarrow_policy::{
     AttemptStart, BackendKey, GenerationSize, GenerationTimes, Outcome, Reason, RequestParts,
     ResumeAction, ResumeEvent, ResumePlan, SoftwareId, StreamEnd,
@@ -45,7 +45,7 @@
     /// The generation is complete.
     End,
     /// An engine's response that is not an event stream.
-    Response(EngineResponse, Bytes),
+    Response(EngineResponse, Bytes, BodyFraming),
     /// The generation cannot be completed.
     Refused {
         /// Whether the generation may have run.
@@ -599,7 +599,7 @@
                 self.running = Some(running);
                 return None;
             }
-            OpenResult::Responded(head, body) => {
+            OpenResult::Responded(head, body, framing) => {
                 let event = if head.status.is_server_error() {
                     ResumeEvent::Failed
                 } else {
@@ -608,7 +608,7 @@
                 let item = self.handle_attempt_end(event, false);
                 return match item {
                     Some(GenerationItem::Refused { .. }) if self.last_event_at.is_none() => {
-                        Some(GenerationItem::Response(head, body))
+                        Some(GenerationItem::Response(head, body, framing))
                     }
                     item => item,
                 };
--- a/crates/cactusbarrow_gateway/tests/cut_heads.rs
+++ b/crates/cactusbarrow_gateway/tests/cut_heads.rs
@@ -356,6 +356,59 @@
     assert!(failures.is_empty(), "{}", failures.join("\n"));
 }
 
+/// Framing of an engine's error response, its bytes after the head, and what the caller of the generation gets.
+const ERROR_FRAMINGS: [(&str, &str, Expected); 8] = [
+    ("content-length: 4\r\n", "done", Whole("done")),
+    (
+        "transfer-encoding: chunked\r\n",
+        "4\r\ndone\r\n0\r\n\r\n",
+        Whole("done"),
+    ),
+    ("", "done", Unframed("done")),
+    ("", "", Unframed("")),
+    ("content-length: 40\r\n", "done", Failure),
+    (
+        "transfer-encoding: chunked\r\n",
+        "4\r\ndone\r\n0\r\n",
+        Failure,
+    ),
+    (
+        "transfer-encoding: gzip, chunked\r\n",
+        "4\r\ndone\r\n0\r\n\r\n",
+        Failure,
+    ),
+    ("transfer-encoding: gzip\r\n", "done", Failure),
+];
+
+#[tokio::test]
+async fn generation_gets_no_error_with_a_length_that_its_engine_did_not_state() {
+    let mut failures = Vec::new();
+    for (framing, body, expected) in ERROR_FRAMINGS {
+        let cluster = TestCluster::start(0).await;
+        let _server = RawServer::start(&cluster, "llm", 1, move |id, _| RawResponseBytes {
+            bytes: format!("{}{body}", head_of("HTTP/1.1 404 Not Found", id, framing)).into(),
+            end: ConnectionEnd::Close,
+        })
+        .await;
+        let gateway = cluster.one_gateway().await;
+        let response = call(&gateway, "once", "/stream/1").await;
+        let (status, is_whole) = (response.status(), is_framed_whole(&response));
+        let got = response.body.as_deref();
+        let is_expected = match expected {
+            Whole(text) => status == 404 && is_whole && got == Some(text.as_bytes()),
+            Unframed(text) => status == 404 && !is_whole && got == Some(text.as_bytes()),
+            Failure => status == 502,
+        };
+        if !is_expected {
+            let got = got.map(String::from_utf8_lossy);
+            failures.push(format!(
+                "{framing:?}: {status} {got:?}, framed as whole: {is_whole}, not {expected:?}"
+            ));
+        }
+    }
+    assert!(failures.is_empty(), "{}", failures.join("\n"));
+}
+
 /// Head lines of HTTP versions and statuses that end a response otherwise.
 const STATUS_LINES: [(&str, &str, &str, Expected); 8] = [
     (
