Report a generation as not run only if its attempts were refused

A caller was told `not_run` after its generation had reached engines. The router had sent attempts to agents that were too slow to be heard from before the attempts were suspected; only a response counted as a sign that one may have run. Seen once in `tests/cut_responses.rs` beside other load: `not_run` after 2 or 3 runs at the engine.

An attempt that is cancelled after it was sent may have run, also at the end of the caller's time. Attempts that are refused, or wait for capacity, still count as not run.

Evidence: `attempt_that_was_sent_and_not_heard_from_may_have_run` failed on the code before (`NotRun` instead of `Unknown`), and passes with the change, as do the other tests of the file.

--- a/crates/cactusbarrow_policy/src/generation.rs
+++ b/crates/cactusbarrow_policy/src/generation.rs
@@ -361,8 +361,10 @@
 
     fn on_tick(&mut self, now: Instant, rng: &mut impl Rng, actions: &mut Vec<GenerationAction>) {
         if now >= self.give_up_at() {
-            let outcome = self.outcome();
-            self.give_up(outcome, self.last_reason, actions);
+            // An attempt that was neither refused nor heard from may have run.
+            self.cancel_current(false, actions);
+            self.drop_standby(false, actions);
+            self.give_up(self.outcome(), self.last_reason, actions);
             return;
         }
         if self.retry_at.is_some_and(|at| now >= at) {
@@ -451,6 +453,7 @@
 
     fn drop_standby(&mut self, is_suspect: bool, actions: &mut Vec<GenerationAction>) {
         if let Some(attempt) = self.standby.take() {
+            self.may_have_run |= !attempt.is_queued;
             actions.push(GenerationAction::Cancel {
                 attempt: attempt.number,
                 is_suspect,
@@ -460,6 +463,7 @@
 
     fn cancel_current(&mut self, is_suspect: bool, actions: &mut Vec<GenerationAction>) {
         if let Some(attempt) = self.current.take() {
+            self.may_have_run |= !attempt.is_queued;
             actions.push(GenerationAction::Cancel {
                 attempt: attempt.number,
                 is_suspect,
--- a/crates/cactusbarrow_policy/tests/generation.rs
+++ b/crates/cactusbarrow_policy/tests/generation.rs
@@ -435,3 +435,32 @@
     assert!(state_machine.is_done());
     assert_eq!(now, start + cfg.first_progress_timeout);
 }
+
+/// Lets time pass until a generation is given up; `queues` tells whether its attempts wait for capacity.
+fn give_up_in_silence(favor: Favor, queues: bool) -> Outcome {
+    let mut now = Instant::now();
+    let (mut state_machine, mut actions) =
+        Generation::start(GenerationConfig::for_favor(favor), now);
+    let mut rng = StdRng::seed_from_u64(1);
+    loop {
+        for action in &actions {
+            match action {
+                GenerationAction::Start { attempt, .. } if queues => {
+                    state_machine.set_queued(*attempt);
+                }
+                GenerationAction::GiveUp(outcome, _) => return *outcome,
+                _ => {}
+            }
+        }
+        now = state_machine.next_wake().expect("a pending deadline");
+        actions = state_machine.handle(GenerationEvent::Tick, now, &mut rng);
+    }
+}
+
+#[test]
+fn attempt_that_was_sent_and_not_heard_from_may_have_run() {
+    for favor in [Favor::Latency, Favor::Resources] {
+        assert_eq!(give_up_in_silence(favor, false), Outcome::Unknown);
+        assert_eq!(give_up_in_silence(favor, true), Outcome::NotRun);
+    }
+}
