Accept the listen queue and await first requests when a server stops

Routers that called an agent, and callers of routers, had connections reset at a stop: the shared server closed its listener with established connections in the listen queue, and a connection of which nothing had been read yet was dropped although its request was on the way or already there. Hyper's graceful shutdown ends a connection before its version is known. The gateway's listener left its queue behind in the same way when its last connection had ended.

Both servers now share their accept loop, which takes what is in the listen queue at the stop, and the loop that drains a connection, which was the gateway's: it looks at data that the runtime has not reported, and waits up to 1 s for the first request of a connection. A connection that is established between the last accept and the close of the listener is still reset; nothing but a queue that accepts no more could prevent it.

--- a/crates/cactusbarrow_gateway/src/connection.rs
+++ b/crates/cactusbarrow_gateway/src/connection.rs
@@ -2,13 +2,14 @@
 
 use std::convert::Infallible;
 use std::future::Future;
-use std::pin::{Pin, pin};
+use std::pin::pin;
 use std::sync::Arc;
-use std::task::Poll;
 use std::time::Duration;
 
 use cactusbarrow_adapter::REQUEST_ID;
-use cactusbarrow_net::{Body, Clock, RequestBody, UnreadBody, catch_panic};
+use cactusbarrow_net::{
+    Body, Clock, ConnectionUse, RequestBody, UnreadBody, catch_panic, serve_until_closed,
+};
 use cactusbarrow_policy::{CloseCause, Outcome, Reason};
 use http::{HeaderName, HeaderValue, Method, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
@@ -32,12 +33,6 @@
 /// Size of the smallest buffer that hyper accepts for the head of a request.
 const MIN_HEADER_BYTES: usize = 8 << 10;
 
-/// Interval at which a connection is checked for its idle time-out.
-const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
-
-/// Interval at which a connection is checked while it waits for a request before it is closed.
-const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
-
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// Serves one connection until it is closed by the peer, its idle time-out is over, or it is
@@ -75,43 +70,33 @@
             TokioIo::new(TrackedStream::new(stream, usage.clone())),
             service,
         );
-    let mut conn = pin!(conn);
-    let mut is_draining = false;
-    loop {
-        let check_interval = if is_draining {
-            DRAIN_CHECK_INTERVAL
-        } else {
-            IDLE_CHECK_INTERVAL
-        };
-        tokio::select! {
-            // A request that has arrived is read before its connection is closed.
-            biased;
-            ended = conn.as_mut() => return ended,
-            () = stop.drain.cancelled(), if !is_draining => {
-                is_draining = true;
-                usage.begin_drain();
-            }
-            () = tokio::time::sleep(check_interval) => {}
-        }
-        if usage.close_cause((limits.idle_timeout)()).is_none() {
-            continue;
-        }
-        // The runtime may not have reported data yet that have arrived.
-        usage.request_peek();
-        if let Poll::Ready(ended) = poll_once(conn.as_mut()).await {
-            return ended;
-        }
-        if let Some(cause) = usage.close_cause((limits.idle_timeout)()) {
-            record_close(cause);
-            conn.as_mut().graceful_shutdown();
-            return conn.await;
-        }
-    }
+    let usage = TimedUse {
+        usage: &usage,
+        idle_timeout: &limits.idle_timeout,
+    };
+    serve_until_closed(pin!(conn), &usage, &stop.drain, record_close).await
 }
 
-/// Polls a future once.
-async fn poll_once<F: Future>(mut future: Pin<&mut F>) -> Poll<F::Output> {
-    std::future::poll_fn(|cx| Poll::Ready(future.as_mut().poll(cx))).await
+/// Use of a connection under an idle time-out.
+struct TimedUse<'a, C, I> {
+    usage: &'a ConnectionUsage<C>,
+    idle_timeout: &'a I,
+}
+
+impl<C: Clock, I: Fn() -> Duration> ConnectionUse for TimedUse<'_, C, I> {
+    const HAS_IDLE_TIMEOUT: bool = true;
+
+    fn begin_drain(&self) {
+        self.usage.begin_drain();
+    }
+
+    fn close_cause(&self) -> Option<CloseCause> {
+        self.usage.close_cause((self.idle_timeout)())
+    }
+
+    fn request_peek(&self) {
+        self.usage.request_peek();
+    }
 }
 
 /// Serves one request, also if its handler panics or does not read its body.
--- a/crates/cactusbarrow_gateway/src/connection_usage.rs
+++ b/crates/cactusbarrow_gateway/src/connection_usage.rs
@@ -1,16 +1,14 @@
 //! Tracks the use of an incoming connection, and the end of each request on it.
 
 use std::io;
-use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
-use cactusbarrow_net::{Body, BodyError, Clock, Linger};
+use cactusbarrow_net::{Body, BodyError, Clock, Linger, has_unread_data};
 use cactusbarrow_policy::{CloseCause, KeptConnection};
 use hyper::body::{Body as HttpBody, Frame, SizeHint};
-use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -283,12 +281,7 @@
     /// Records data that have arrived although the last read found none.
     fn peek_if_requested(&self) {
         let needs_peek = std::mem::take(&mut self.usage.state().needs_peek);
-        if !needs_peek {
-            return;
-        }
-        let mut buf = [MaybeUninit::uninit()];
-        // An error is found by the next read, too.
-        if matches!(SockRef::from(&self.stream).peek(&mut buf), Ok(count) if count > 0) {
+        if needs_peek && has_unread_data(&self.stream) {
             self.usage.record_data();
         }
     }
--- a/crates/cactusbarrow_gateway/src/listener.rs
+++ b/crates/cactusbarrow_gateway/src/listener.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cactusbarrow_net::{Body, Clock, RequestBody};
+use cactusbarrow_net::{Body, Clock, RequestBody, accept_until};
 use http::{Request, Response};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
@@ -13,9 +13,6 @@
 use crate::connection::{self, ConnectionLimits};
 use crate::shared::Shared;
 
-/// Delay after a failed accept, for instance when file descriptors run out.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-
 /// Limits of connections before the first configuration is known.
 const DEFAULT_HEADER_BYTES: usize = 16 << 10;
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
@@ -31,7 +28,7 @@
     pub(crate) stop: CancellationToken,
 }
 
-/// Accepts connections until `stop` is cancelled; `connections` tracks their tasks, and `name` names
+/// Accepts connections until `stop` is cancelled, then those in the listen queue; `connections` tracks their tasks, and `name` names
 /// the listener in logs and metrics.
 pub(crate) async fn run<C, H, F>(
     listener: TcpListener,
@@ -45,29 +42,15 @@
     H: Fn(Request<RequestBody>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
-    loop {
-        let accepted = tokio::select! {
-            biased;
-            () = stop.stop.cancelled() => return,
-            accepted = listener.accept() => accepted,
-        };
-        let (stream, peer) = match accepted {
-            Ok(accepted) => accepted,
-            Err(e) => {
-                log::warn!(step = "accept"; "cannot accept a connection: {e}");
-                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-                continue;
-            }
-        };
+    accept_until(listener, &stop.stop, |stream, peer| {
         if let Err(e) = stream.set_nodelay(true) {
             log::debug!(step = "accept", peer:% = peer; "cannot set TCP_NODELAY: {e}");
         }
-        let limits = limits(&shared);
         let conn = connection::serve(
             stream,
             shared.clock.clone(),
             name,
-            limits,
+            limits(&shared),
             handler.clone(),
             stop.clone(),
         );
@@ -76,7 +59,8 @@
                 log::debug!(step = "serve", peer:% = peer; "connection ended: {e}");
             }
         });
-    }
+    })
+    .await;
 }
 
 fn limits<C: Clock>(
--- /dev/null
+++ b/crates/cactusbarrow_net/src/drain.rs
@@ -0,0 +1,96 @@
+//! Serves an incoming connection until it may be closed without losing a request.
+
+use std::future::Future;
+use std::mem::MaybeUninit;
+use std::pin::Pin;
+use std::task::Poll;
+use std::time::Duration;
+
+use cactusbarrow_policy::CloseCause;
+use hyper_util::server::graceful::GracefulConnection;
+use socket2::SockRef;
+use tokio::net::TcpStream;
+use tokio_util::sync::CancellationToken;
+
+/// Interval at which a connection is checked for its idle time-out.
+const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Interval at which a connection is checked while it waits for a request before it is closed.
+const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Use of an incoming connection, by which it is decided when to close it.
+pub trait ConnectionUse {
+    /// Whether connections are closed once they have been idle for long.
+    const HAS_IDLE_TIMEOUT: bool;
+
+    /// Begins to close the connection as soon as no request is lost by it.
+    fn begin_drain(&self);
+
+    /// Returns why the connection is to be closed now, if it is.
+    fn close_cause(&self) -> Option<CloseCause>;
+
+    /// Has the next read look at data that have arrived, but were not reported yet.
+    fn request_peek(&self);
+}
+
+/// Serves a connection until its peer closes it, its idle time-out is over, or it is drained.
+///
+/// `on_close` is called before this process closes the connection.
+pub async fn serve_until_closed<G, U>(
+    mut conn: Pin<&mut G>,
+    usage: &U,
+    drain: &CancellationToken,
+    on_close: impl FnOnce(CloseCause),
+) -> Result<(), G::Error>
+where
+    G: GracefulConnection,
+    U: ConnectionUse,
+{
+    let mut is_draining = false;
+    loop {
+        let check = async {
+            if is_draining {
+                tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
+            } else if U::HAS_IDLE_TIMEOUT {
+                tokio::time::sleep(IDLE_CHECK_INTERVAL).await;
+            } else {
+                std::future::pending::<()>().await;
+            }
+        };
+        tokio::select! {
+            // A request that has arrived is read before its connection is closed.
+            biased;
+            ended = conn.as_mut() => return ended,
+            () = drain.cancelled(), if !is_draining => {
+                is_draining = true;
+                usage.begin_drain();
+            }
+            () = check => {}
+        }
+        if usage.close_cause().is_none() {
+            continue;
+        }
+        // The runtime may not have reported data yet that have arrived.
+        usage.request_peek();
+        if let Poll::Ready(ended) = poll_once(conn.as_mut()).await {
+            return ended;
+        }
+        if let Some(cause) = usage.close_cause() {
+            on_close(cause);
+            conn.as_mut().graceful_shutdown();
+            return conn.await;
+        }
+    }
+}
+
+/// Polls a future once.
+async fn poll_once<F: Future>(mut future: Pin<&mut F>) -> Poll<F::Output> {
+    std::future::poll_fn(|cx| Poll::Ready(future.as_mut().poll(cx))).await
+}
+
+/// Returns whether data have arrived that have not been read, also before the runtime reports them.
+pub fn has_unread_data(stream: &TcpStream) -> bool {
+    let mut buf = [MaybeUninit::uninit()];
+    // An error is found by the next read, too.
+    matches!(SockRef::from(stream).peek(&mut buf), Ok(count) if count > 0)
+}
--- a/crates/cactusbarrow_net/src/lib.rs
+++ b/crates/cactusbarrow_net/src/lib.rs
@@ -5,27 +5,31 @@
 
 #![warn(missing_docs)]
 
+mod accept;
 mod body;
 mod catch_panic;
 mod clock;
 mod control_client;
 mod control_server;
+mod drain;
 mod error;
 mod event_splitter;
 mod framing;
 mod http_client;
 mod linger;
-mod lingering_stream;
 mod request_body;
 mod server;
+mod server_connection;
 mod sse;
 mod timed_body;
 
+pub use accept::accept_until;
 pub use body::{Body, BodyError, BodyReceiver, BodySender, collect_limited};
 pub use catch_panic::{Panicked, catch_panic};
 pub use clock::{Clock, SystemClock, unix_seconds};
 pub use control_client::ControlClient;
 pub use control_server::{ControlHandler, ControlServer};
+pub use drain::{ConnectionUse, has_unread_data, serve_until_closed};
 pub use error::NetError;
 pub use event_splitter::{EventSplitter, RawEvent};
 pub use framing::{BodyFraming, FramingError, unframed_response};
--- a/crates/cactusbarrow_net/src/server.rs
+++ b/crates/cactusbarrow_net/src/server.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::time::Duration;
 
 use cactusbarrow_protocol::{OUTCOME_HEADER, REASON_HEADER};
@@ -10,16 +11,15 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
-use hyper_util::server::graceful::GracefulShutdown;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 use tower::{Service, ServiceExt};
 
-use crate::lingering_stream::{HasUnreadBody, LingeringStream};
-use crate::{Body, NetError, RequestBody, UnreadBody, catch_panic};
-
-/// Delay after a failed accept, for instance when file descriptors run out.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+use crate::server_connection::{InFlightBody, ServerConnection, ServerStream};
+use crate::{
+    Body, NetError, RequestBody, UnreadBody, accept_until, catch_panic, serve_until_closed,
+};
 
 /// Body of the response to a request whose handler panicked.
 const PANIC_BODY: &str = r#"{"error":{"outcome":"unknown","reason":"internal_error","step":"serve request","message":""}}"#;
@@ -70,32 +70,24 @@
         + 'static,
     S::Future: Send,
 {
-    let graceful = GracefulShutdown::new();
-    loop {
-        let accepted = tokio::select! {
-            () = shutdown.cancelled() => break,
-            accepted = listener.accept() => accepted,
-        };
-        match accepted {
-            Ok((stream, peer)) => spawn_connection(stream, peer, service.clone(), cfg, &graceful),
-            Err(e) => {
-                log::warn!(step = "accept"; "cannot accept a connection: {e}");
-                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            }
-        }
-    }
-    drop(listener);
-    tokio::time::timeout(cfg.drain_timeout, graceful.shutdown())
+    let connections = TaskTracker::new();
+    accept_until(listener, &shutdown, |stream, peer| {
+        let conn = serve_connection(stream, peer, service.clone(), cfg, shutdown.clone());
+        connections.spawn(conn);
+    })
+    .await;
+    connections.close();
+    tokio::time::timeout(cfg.drain_timeout, connections.wait())
         .await
         .is_ok()
 }
 
-fn spawn_connection<S>(
+async fn serve_connection<S>(
     stream: TcpStream,
     peer: SocketAddr,
     service: S,
     cfg: ServeConfig,
-    graceful: &GracefulShutdown,
+    drain: CancellationToken,
 ) where
     S: Service<Request<RequestBody>, Response = Response<Body>, Error = Infallible>
         + Clone
@@ -105,11 +97,12 @@
 {
     // Tokens are small writes, which Nagle's algorithm would delay behind one another.
     let _ = stream.set_nodelay(true);
-    let has_unread_body = HasUnreadBody::default();
-    let stream = LingeringStream::new(stream, has_unread_body.clone());
+    let usage = ServerConnection::new();
+    let stream = ServerStream::new(stream, usage.clone());
+    let served = usage.clone();
     let service = service_fn(move |mut req: Request<Incoming>| {
         req.extensions_mut().insert(PeerAddr(peer));
-        serve_request(service.clone(), req, has_unread_body.clone())
+        serve_request(service.clone(), req, served.clone())
     });
     let mut builder = Builder::new(TokioExecutor::new());
     builder
@@ -123,24 +116,23 @@
     let conn = builder
         .serve_connection(TokioIo::new(stream), service)
         .into_owned();
-    let conn = graceful.watch(conn);
-    tokio::spawn(async move {
-        if let Err(e) = conn.await {
-            log::debug!(step = "serve", peer:% = peer; "connection ended: {e}");
-        }
-    });
+    let conn = pin!(conn);
+    if let Err(e) = serve_until_closed(conn, &usage, &drain, |_| {}).await {
+        log::debug!(step = "serve", peer:% = peer; "connection ended: {e}");
+    }
 }
 
 /// Serves one request, also if its handler panics or does not read its body.
 async fn serve_request<S>(
     service: S,
     req: Request<Incoming>,
-    has_unread_body: HasUnreadBody,
-) -> Result<Response<Body>, Infallible>
+    connection: ServerConnection,
+) -> Result<Response<InFlightBody>, Infallible>
 where
     S: Service<Request<RequestBody>, Response = Response<Body>, Error = Infallible>,
 {
     let is_multiplexed = req.version() >= Version::HTTP_2;
+    let in_flight = connection.begin_request(is_multiplexed);
     let is_continue_expected = req.headers().contains_key(header::EXPECT);
     let unread = UnreadBody::default();
     let req = req.map(|body| RequestBody::new(body, unread.clone()));
@@ -153,11 +145,11 @@
     };
     // A stream of HTTP/2 ends without closing its connection.
     if !is_multiplexed && !unread.discard(is_continue_expected).await {
-        has_unread_body.set();
+        connection.record_unread_body();
         let close = HeaderValue::from_static("close");
         res.headers_mut().insert(header::CONNECTION, close);
     }
-    Ok(res)
+    Ok(res.map(|body| InFlightBody::new(body, in_flight)))
 }
 
 /// Returns the response to a request whose handler panicked: it may have been run.
