Replace a page of quarantined requests only if it is the one that is known

Gateways that start learn from the pages in the store which requests have ended engines. A write of a page that the store had not answered was executed seconds later, and replaced a newer page: the losses and verdicts that only that one named were gone until the page changed again.

Writes of these pages now state the revision that they replace, as those of origins do; OwnedKey holds the mechanism for both. If the key holds another item, its entries are taken over, and the write is repeated.

--- a/crates/cactusbarrow_gateway/src/lib.rs
+++ b/crates/cactusbarrow_gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod listener;
 mod origin_exchange;
 mod origin_store;
+mod owned_key;
 mod peer_knowledge;
 mod peers;
 mod prompt_search;
--- a/crates/cactusbarrow_gateway/src/origin_store.rs
+++ b/crates/cactusbarrow_gateway/src/origin_store.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use cactusbarrow_adapter::{KeyValue, ReplaceOutcome, Snapshot, StoreClient, StoreError};
+use cactusbarrow_adapter::{KeyValue, Snapshot, StoreClient, StoreError};
 use cactusbarrow_net::Clock;
 use cactusbarrow_policy::{
     Backoff, OriginConfig, ServedPage, ServedVersion, ServedVersions, ServiceId, SoftwareId,
@@ -19,6 +19,7 @@
 use prost::Message;
 use tokio_util::sync::CancellationToken;
 
+use crate::owned_key::{OwnedKey, OwnedKeyWrite};
 use crate::shared::Shared;
 
 /// Prefix of the keys that hold pages of origins; the gateway's address and the page's slot follow.
@@ -157,19 +158,17 @@
     stop: CancellationToken,
 ) {
     let write = async {
-        let revisions = load_pages(&shared, &store).await;
-        write_pages(&shared, &store, revisions).await;
+        let keys = load_pages(&shared, &store).await;
+        write_pages(&shared, &store, keys).await;
     };
     stop.run_until_cancelled(write).await;
 }
 
-/// Revision of the item that the store holds for each slot.
-///
-/// A slot without one holds none; `None` if it is not known which one it holds.
-type Revisions = HashMap<usize, Option<u64>>;
+/// The key of each slot; a slot without one holds no item.
+type SlotKeys = HashMap<usize, OwnedKey>;
 
-/// Loads the pages that an earlier incarnation of this gateway wrote; returns their revisions.
-async fn load_pages<C: Clock>(shared: &Shared<C>, store: &StoreClient) -> Revisions {
+/// Loads the pages that an earlier incarnation of this gateway wrote; returns their keys.
+async fn load_pages<C: Clock>(shared: &Shared<C>, store: &StoreClient) -> SlotKeys {
     let prefix = page_prefix(shared.settings.ip);
     let mut failures = 0;
     let Snapshot {
@@ -202,10 +201,10 @@
             None => shared.versions().record_unknown(shared.now()),
         }
     }
-    let revisions = items
+    let keys = items
         .iter()
-        .filter_map(|item| Some((slot_of(item)?, Some(item.position.revision))));
-    revisions.collect()
+        .filter_map(|item| Some((slot_of(item)?, OwnedKey::holding(item))));
+    keys.collect()
 }
 
 /// Records what another write has left on a page since it was read: an earlier incarnation's, or an earlier one of
@@ -240,9 +239,8 @@
     }
 }
 
-/// Writes pages as they change, each of which replaces the item that the slot is known to hold: a write that was not
-/// answered may be executed seconds later, and would hide what a newer page tells.
-async fn write_pages<C: Clock>(shared: &Shared<C>, store: &StoreClient, mut revisions: Revisions) {
+/// Writes pages as they change.
+async fn write_pages<C: Clock>(shared: &Shared<C>, store: &StoreClient, mut keys: SlotKeys) {
     let prefix = page_prefix(shared.settings.ip);
     let mut failures = 0;
     loop {
@@ -261,25 +259,18 @@
         metrics::counter!("gateway_store_calls_total").increment(1);
         let served = served_versions(shared);
         let page = encode_page(shared, &origins, &served);
-        let known = revisions.get(&slot).copied().unwrap_or(Some(0));
-        match store
-            .replace(&format!("{prefix}{slot}"), &page, known)
-            .await
-        {
-            Ok(ReplaceOutcome::Written { revision }) => {
+        let key = format!("{prefix}{slot}");
+        let owned = keys.entry(slot).or_insert_with(OwnedKey::empty);
+        match owned.write(store, &key, &page, None).await {
+            Ok(OwnedKeyWrite::Written) => {
                 failures = 0;
-                revisions.insert(slot, revision);
                 shared.record_stored(served.into_iter());
                 shared.origin_pages().record_written(slot);
             }
-            Ok(ReplaceOutcome::Conflict { current }) => {
+            Ok(OwnedKeyWrite::Conflict(current)) => {
                 if let Some(item) = &current {
                     record_late_page(shared, item);
                 }
-                let revision = current.map_or(0, |item| item.position.revision);
-                // A store that refuses the item it names is not asked for it again.
-                let is_repeated = known == Some(revision);
-                revisions.insert(slot, (!is_repeated).then_some(revision));
                 shared.origin_pages().record_unwritten(slot);
             }
             Err(e) => {
--- a/crates/cactusbarrow_gateway/src/quarantine.rs
+++ b/crates/cactusbarrow_gateway/src/quarantine.rs
@@ -21,6 +21,7 @@
 
 use crate::engine_end::has_ended;
 use crate::origin_store::write_interval;
+use crate::owned_key::{OwnedKey, OwnedKeyWrite};
 use crate::shared::Shared;
 
 /// Prefix of the keys that hold pages; the gateway's address follows.
@@ -334,13 +335,15 @@
     stop: CancellationToken,
 ) {
     let sync = async {
-        load_pages(&shared, &store).await;
-        write_pages(&shared, &store).await;
+        let own_key = load_pages(&shared, &store).await;
+        write_pages(&shared, &store, own_key).await;
     };
     stop.run_until_cancelled(sync).await;
 }
 
-async fn load_pages<C: Clock>(shared: &Shared<C>, store: &StoreClient) {
+/// Applies the pages of all gateways; returns the key of this gateway's.
+async fn load_pages<C: Clock>(shared: &Shared<C>, store: &StoreClient) -> OwnedKey {
+    let own_key = page_key(shared.settings.ip);
     let mut failures = 0;
     loop {
         metrics::counter!("gateway_store_calls_total").increment(1);
@@ -350,7 +353,8 @@
                 for item in &snapshot.items {
                     apply_page(shared, item);
                 }
-                return;
+                let own = snapshot.items.iter().find(|item| item.key == own_key);
+                return own.map_or_else(OwnedKey::empty, OwnedKey::holding);
             }
             Err(e) => wait_for_retry(shared, "quarantined parts not read", &e, failures).await,
         }
@@ -358,8 +362,7 @@
     }
 }
 
-async fn write_pages<C: Clock>(shared: &Shared<C>, store: &StoreClient) {
-    let key = page_key(shared.settings.ip);
+async fn write_pages<C: Clock>(shared: &Shared<C>, store: &StoreClient, mut own_key: OwnedKey) {
     let mut written = QuarantinePage::default();
     let mut lease: Option<(Lease, Instant)> = None;
     let mut failures = 0;
@@ -374,11 +377,17 @@
         if is_rewrite {
             lease = None;
         }
-        match write_page(shared, store, &key, &page, &mut lease).await {
-            Ok(()) => {
+        match write_page(shared, store, &mut own_key, &page, &mut lease).await {
+            Ok(OwnedKeyWrite::Written) => {
                 written = page;
                 failures = 0;
             }
+            Ok(OwnedKeyWrite::Conflict(current)) => {
+                if let Some(item) = &current {
+                    apply_page(shared, item);
+                }
+                shared.quarantine_signal().request_rewrite();
+            }
             Err(e) => {
                 lease = None;
                 // The write is tried again even if nothing changes until then.
@@ -394,10 +403,10 @@
 async fn write_page<C: Clock>(
     shared: &Shared<C>,
     store: &StoreClient,
-    key: &str,
+    own_key: &mut OwnedKey,
     page: &QuarantinePage,
     lease: &mut Option<(Lease, Instant)>,
-) -> Result<(), StoreError> {
+) -> Result<OwnedKeyWrite, StoreError> {
     let now = shared.now();
     let is_fresh = |(_, at): &(Lease, Instant)| now.saturating_duration_since(*at) < LEASE_REUSE;
     let current = match lease.filter(|lease| is_fresh(lease)) {
@@ -413,7 +422,8 @@
     };
     metrics::counter!("gateway_store_calls_total").increment(1);
     let value = Bytes::from(page.encode_to_vec());
-    store.put(key, &value, Some(current)).await
+    let key = page_key(shared.settings.ip);
+    own_key.write(store, &key, &value, Some(current)).await
 }
 
 fn encode_page<C: Clock>(shared: &Shared<C>) -> QuarantinePage {
