End an agent within its drain time-out, and name the work that its exit cuts

An agent with work that did not end took twice its drain time-out: it waited that long for the work, and then as long again for the connections, so a supervisor that goes by grace_seconds killed it. Nothing in its log named the work.

The policy of the gateway's shutdown now bounds agents, too. Shortly before the exit the attempts that still run end with END_KIND_SHUTTING_DOWN, so that routers move them at once instead of finding a broken connection, and each is logged with its generation; calls that are open at the exit are logged with their key, or their path if they are repeatable. An attempt counts as in flight until its end is recorded, so that none which has just ended is taken for cut. Work was refused from the first moment of a drain before already.

--- a/crates/cactusbarrow_agent/src/agent.rs
+++ b/crates/cactusbarrow_agent/src/agent.rs
@@ -1,5 +1,7 @@
 //! State shared by the tasks of one agent.
 
+use std::collections::HashMap;
+use std::fmt;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
@@ -7,7 +9,7 @@
 use cactusbarrow_net::{Clock, HttpClient};
 use cactusbarrow_policy::{
     AdmissionConfig, AdmissionController, BackendHealth, DrainCause, EngineOrders, HealthConfig,
-    OrderConfig, Permit, Reason, Revision, Work,
+    KeyHash, OrderConfig, Permit, Reason, Revision, Work,
 };
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -33,6 +35,26 @@
     drain_started_at: watch::Sender<Option<Instant>>,
     health: Mutex<BackendHealth>,
     host_list_index: AtomicU64,
+    /// Admitted calls that have not ended, by number.
+    calls: Mutex<HashMap<u64, CallId>>,
+    call_count: AtomicU64,
+}
+
+/// Identity of a call, for the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum CallId {
+    Claimed(KeyHash),
+    /// A repeatable call, whose key agents do not know, with its path.
+    Repeatable(String),
+}
+
+impl fmt::Display for CallId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Claimed(key) => write!(f, "{key}"),
+            Self::Repeatable(path) => write!(f, "{path}"),
+        }
+    }
 }
 
 impl<C: Clock> Agent<C> {
@@ -51,6 +73,8 @@
             drain_started_at: watch::Sender::new(None),
             health: Mutex::new(BackendHealth::new(HealthConfig::default())),
             host_list_index: AtomicU64::new(0),
+            calls: Mutex::default(),
+            call_count: AtomicU64::new(0),
             tasks: TaskTracker::new(),
             revisions: watch::Sender::new(Revision::default()),
             cfg,
@@ -70,6 +94,7 @@
             Ok(permit) => Ok(AgentPermit {
                 agent: self.clone(),
                 permit: Some(permit),
+                call: None,
             }),
             Err(reason) => {
                 let label = reason.as_str();
@@ -80,6 +105,19 @@
         }
     }
 
+    /// Admits a call, as [`Agent::admit`] does, and records it until it ends.
+    pub(crate) fn admit_call(
+        self: &Arc<Self>,
+        work: &Work<'_>,
+        id: CallId,
+    ) -> Result<AgentPermit<C>, Reason> {
+        let mut permit = self.admit(work)?;
+        let number = self.call_count.fetch_add(1, Ordering::Relaxed);
+        self.calls().insert(number, id);
+        permit.call = Some(number);
+        Ok(permit)
+    }
+
     /// Sets or clears a cause of draining and updates the start time of the drain.
     ///
     /// Generations are asked to move elsewhere `move_after` after that time.
@@ -111,6 +149,11 @@
         self.drain_started_at.subscribe()
     }
 
+    /// Locks the table of admitted calls that have not ended.
+    pub(crate) fn calls(&self) -> MutexGuard<'_, HashMap<u64, CallId>> {
+        self.calls.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Locks the admission controller.
     pub(crate) fn admission(&self) -> MutexGuard<'_, AdmissionController> {
         self.admission
@@ -142,6 +185,8 @@
 pub(crate) struct AgentPermit<C: Clock> {
     agent: Arc<Agent<C>>,
     permit: Option<Permit>,
+    /// Number of the call that it was given to, if any.
+    call: Option<u64>,
 }
 
 impl<C: Clock> Drop for AgentPermit<C> {
@@ -149,5 +194,8 @@
         if let Some(permit) = self.permit.take() {
             self.agent.admission().release(permit);
         }
+        if let Some(number) = self.call {
+            self.agent.calls().remove(&number);
+        }
     }
 }
--- a/crates/cactusbarrow_agent/src/attempt.rs
+++ b/crates/cactusbarrow_agent/src/attempt.rs
@@ -21,7 +21,6 @@
     permit: AgentPermit<C>,
 ) {
     let kind = record_tokens(&agent, &record).await;
-    drop(permit);
     let reason = match kind {
         EndKind::Stop | EndKind::Length => "",
         EndKind::Rejected => Reason::BackendError.as_str(),
@@ -29,6 +28,7 @@
         _ => Reason::EngineLost.as_str(),
     };
     record.end(kind, reason);
+    drop(permit);
     tokio::select! {
         () = tokio::time::sleep(agent.cfg.finished_retention) => {}
         () = agent.stop.cancelled() => {}
--- a/crates/cactusbarrow_agent/src/calls.rs
+++ b/crates/cactusbarrow_agent/src/calls.rs
@@ -12,7 +12,7 @@
 use hyper::body::Incoming;
 use tokio::sync::watch;
 
-use crate::agent::{Agent, AgentPermit};
+use crate::agent::{Agent, AgentPermit, CallId};
 use crate::responses::{cached_response, failure_response, refusal_response};
 
 /// Largest body of a claimed call or of its response, in bytes.
@@ -73,7 +73,8 @@
     parts: &Parts,
     body: RequestBody,
 ) -> Response<Body> {
-    let permit = match agent.admit(&Work::Repeatable) {
+    let id = CallId::Repeatable(parts.uri.path().to_owned());
+    let permit = match agent.admit_call(&Work::Repeatable, id) {
         Ok(permit) => permit,
         Err(reason) => return refusal_response(reason),
     };
@@ -141,7 +142,8 @@
         Ok(req) => req,
         Err(e) => return invalid_call_response(&e),
     };
-    let permit = match agent.admit(&Work::Claimed { nonce: claim.nonce }) {
+    let work = Work::Claimed { nonce: claim.nonce };
+    let permit = match agent.admit_call(&work, CallId::Claimed(claim.key)) {
         Ok(permit) => permit,
         Err(Reason::ClaimUsed) => {
             return failure_response(StatusCode::CONFLICT, Outcome::Unknown, Reason::ClaimUsed);
--- a/crates/cactusbarrow_agent/src/generation_table.rs
+++ b/crates/cactusbarrow_agent/src/generation_table.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
-use cactusbarrow_policy::{AttemptNumber, GenerationId, TokenBuffer};
+use cactusbarrow_policy::{AttemptNumber, GenerationId, Reason, TokenBuffer};
 use cactusbarrow_protocol::generated::{EndKind, GenerateRequest};
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -77,11 +77,17 @@
     }
 
     /// Records the end of the attempt, unless it has ended before, and wakes the readers.
-    pub(crate) fn end(&self, kind: EndKind, reason: &'static str) {
-        self.state()
-            .end
-            .get_or_insert(GenerationEnd { kind, reason });
+    ///
+    /// Returns whether it was recorded.
+    pub(crate) fn end(&self, kind: EndKind, reason: &'static str) -> bool {
+        let is_first = {
+            let mut state = self.state();
+            let is_first = state.end.is_none();
+            state.end.get_or_insert(GenerationEnd { kind, reason });
+            is_first
+        };
         self.changed.send_replace(());
+        is_first
     }
 
     /// Returns a receiver that is notified of each change.
@@ -132,6 +138,22 @@
         }
     }
 
+    /// Ends the attempts that still run because the agent exits, so that their readers continue elsewhere; returns
+    /// them.
+    pub(crate) fn end_running(&self) -> Vec<(GenerationId, AttemptNumber)> {
+        let mut ended = Vec::new();
+        for shard in &self.shards {
+            let shard = shard.lock().unwrap_or_else(PoisonError::into_inner);
+            for (id, record) in &*shard {
+                if record.end(EndKind::ShuttingDown, Reason::ShuttingDown.as_str()) {
+                    record.cancel.cancel();
+                    ended.push((*id, record.attempt));
+                }
+            }
+        }
+        ended
+    }
+
     fn shard(
         &self,
         id: GenerationId,
--- a/crates/cactusbarrow_agent/src/run.rs
+++ b/crates/cactusbarrow_agent/src/run.rs
@@ -8,7 +8,7 @@
 use cactusbarrow_net::{
     Body, Clock, ControlServer, NetError, PeerAddr, RequestBody, ServeConfig, listen, serve,
 };
-use cactusbarrow_policy::{DrainCause, Outcome, Reason, Revision};
+use cactusbarrow_policy::{DrainCause, Outcome, Reason, Revision, Shutdown, ShutdownConfig};
 use cactusbarrow_protocol::{ANSWER_PATH, ATTACH_PATH, CALL_PATH, GENERATE_PATH};
 use http::{Request, Response, StatusCode};
 use tokio::net::TcpListener;
@@ -112,18 +112,34 @@
         () = shutdown.cancelled() => {}
         _ = &mut server => return false,
     }
+    let mut stop = Shutdown::new(ShutdownConfig::default(), agent.cfg.drain_timeout);
+    stop.begin(agent.clock.now());
     agent.set_draining(DrainCause::Signal, true);
     log::info!(backend_server = agent.cfg.name; "shutting down; draining");
     // The agent keeps listening while work runs, so that routers get an explicit refusal.
+    let work_time_left = stop.refusal_time_left(agent.clock.now());
     tokio::select! {
-        _ = tokio::time::timeout(agent.cfg.drain_timeout, wait_idle(&agent)) => {}
-        _ = &mut server => {}
+        _ = tokio::time::timeout(work_time_left, wait_idle(&agent)) => {}
+        _ = &mut server => return false,
     }
     close.cancel();
-    let is_clean = server.await;
+    let cut = agent.generations.end_running();
+    for (generation, attempt) in &cut {
+        log::warn!(
+            backend_server = agent.cfg.name,
+            generation:% = generation,
+            attempt = attempt.0;
+            "attempt is cut at the exit"
+        );
+    }
+    let time_left = stop.time_left(agent.clock.now());
+    let is_closed = tokio::time::timeout(time_left, server).await;
+    for call in agent.calls().values() {
+        log::warn!(backend_server = agent.cfg.name, call:% = call; "call is cut at the exit");
+    }
     agent.stop.cancel();
     agent.tasks.close();
-    is_clean
+    cut.is_empty() && is_closed.unwrap_or(false)
 }
 
 async fn wait_idle<C: Clock>(agent: &Agent<C>) {
--- a/crates/cactusbarrow_policy/src/shutdown.rs
+++ b/crates/cactusbarrow_policy/src/shutdown.rs
@@ -1,4 +1,4 @@
-//! Decides which requests a gateway still admits while it shuts down.
+//! Decides which requests a process still admits while it shuts down, and when it ends the others.
 //!
 //! Load pattern: hosts are restarted one after the other under full load. The load balancer
 //! continues to send callers for a while, and where the host is the only one of its zone, a
@@ -28,7 +28,7 @@
     }
 }
 
-/// Shutdown state of a gateway.
+/// Shutdown state of a gateway, a router or an agent.
 #[derive(Clone, Debug)]
 pub struct Shutdown {
     cfg: ShutdownConfig,
@@ -37,10 +37,10 @@
 }
 
 impl Shutdown {
-    /// Creates the state of a gateway that is not shutting down.
+    /// Creates the state of a process that is not shutting down.
     ///
-    /// `grace` is the grace period: the time after SIGTERM at which the platform kills the
-    /// process. It includes the exit of the process, which a router's drain time-out does not.
+    /// `grace` is the grace period or drain time-out: the time after SIGTERM at which the process is
+    /// killed. It includes the exit of the process.
     pub fn new(cfg: ShutdownConfig, grace: Duration) -> Self {
         Self {
             cfg,
