End a router within its drain time-out, and admit nothing that outlasts it

Callers of a stopping router had generations begun that its exit cut: a request on a connection that was accepted last was admitted whatever time was left. Streams were aborted only at the drain time-out, so that the process ended up to 1 s after it, when a supervisor may have killed it; the stop then counted as clean (exit code 0 instead of 3), no line named the streams, and calls in flight ended with a broken connection instead of a response.

The policy of the gateway's shutdown now decides for routers, too: generations, whose duration nothing bounds, are refused as not run once the stop has begun, and calls unless their caller's patience ends before the exit. 0.5 s before the drain time-out streams are aborted and logged with their generation, and requests without a response get one. Bodies of responses of plain services that are still being sent at the exit are not named.

--- a/crates/cactusbarrow_router/src/calls.rs
+++ b/crates/cactusbarrow_router/src/calls.rs
@@ -77,9 +77,14 @@
         .uri
         .query()
         .map_or_else(String::new, |q| format!("?{q}"));
+    let caller_timeout = Duration::from_secs(u64::from(service.caller_patience_seconds));
+    let now = router.clock.now();
+    let time_left = (arrived + caller_timeout).saturating_duration_since(now);
+    if !router.shutdown().can_end(now, time_left) {
+        return Err(Refusal::new(outcome, Reason::ShuttingDown, "admit call"));
+    }
     let _permit = CustomerPermit::admit(router, customer)
         .map_err(|reason| Refusal::new(outcome, reason, "admit customer"))?;
-    let caller_timeout = Duration::from_secs(u64::from(service.caller_patience_seconds));
     let call = ServiceCall {
         service,
         key,
--- a/crates/cactusbarrow_router/src/completions.rs
+++ b/crates/cactusbarrow_router/src/completions.rs
@@ -51,6 +51,14 @@
             Refusal::new(outcome, Reason::NoSuchService, "find service")
                 .with_message(format!("no service serves model {}", req.model))
         })?;
+    // Nothing bounds the time that the generation takes.
+    if router.shutdown().has_begun() {
+        return Err(Refusal::new(
+            outcome,
+            Reason::ShuttingDown,
+            "admit generation",
+        ));
+    }
     let permit = CustomerPermit::admit(router, &customer)
         .map_err(|reason| Refusal::new(outcome, reason, "admit customer"))?;
     let call = CompletionCall {
--- a/crates/cactusbarrow_router/src/config.rs
+++ b/crates/cactusbarrow_router/src/config.rs
@@ -37,7 +37,7 @@
     pub max_in_flight: usize,
     /// Largest body of a request, in bytes.
     pub max_body_bytes: usize,
-    /// Time that streams get to end after SIGTERM before they are aborted.
+    /// Maximum time from SIGTERM to the end of the process; streams are aborted shortly before.
     pub drain_timeout: Duration,
     /// Time after which a caller that does not read its stream is disconnected.
     pub caller_stall_timeout: Duration,
--- a/crates/cactusbarrow_router/src/generation_driver.rs
+++ b/crates/cactusbarrow_router/src/generation_driver.rs
@@ -159,6 +159,11 @@
                 biased;
                 () = self.sink.closed() => return,
                 () = abort_streams.cancelled() => {
+                    log::warn!(
+                        generation:% = self.req.generation,
+                        tokens = self.state_machine.accepted().len();
+                        "generation is cut at the exit"
+                    );
                     self.sink.abort().await;
                     return;
                 }
--- a/crates/cactusbarrow_router/src/router.rs
+++ b/crates/cactusbarrow_router/src/router.rs
@@ -9,7 +9,7 @@
 use cactusbarrow_platform::{HostList, Store};
 use cactusbarrow_policy::{
     BalancingRequest, Candidate, CustomerLimiter, GenerationConfig, LoadTable, Reason, RetryBudget,
-    Revision,
+    Revision, Shutdown, ShutdownConfig,
 };
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -50,6 +50,7 @@
     customers: Vec<Mutex<CustomerLimiter>>,
     budgets: Mutex<HashMap<String, RetryBudget>>,
     agent_revisions: Mutex<HashMap<String, Revision>>,
+    shutdown: Mutex<Shutdown>,
 }
 
 impl<S: Store + HostList, C: Clock> Router<S, C> {
@@ -77,6 +78,7 @@
             customers: (0..CUSTOMER_SHARDS).map(|_| Mutex::default()).collect(),
             budgets: Mutex::default(),
             agent_revisions: Mutex::default(),
+            shutdown: Mutex::new(Shutdown::new(ShutdownConfig::default(), cfg.drain_timeout)),
             cfg,
             store,
             clock,
@@ -142,6 +144,11 @@
         Some(eligible[choice].clone())
     }
 
+    /// Locks the state of the shutdown.
+    pub(crate) fn shutdown(&self) -> MutexGuard<'_, Shutdown> {
+        self.shutdown.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Locks the load table.
     pub(crate) fn load(&self) -> MutexGuard<'_, LoadTable> {
         self.load.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/cactusbarrow_router/src/run.rs
+++ b/crates/cactusbarrow_router/src/run.rs
@@ -10,7 +10,7 @@
     listen, serve,
 };
 use cactusbarrow_platform::{HostList, Store};
-use cactusbarrow_policy::{Reason, Revision};
+use cactusbarrow_policy::{Outcome, Reason, Revision};
 use http::{Method, Request, Response};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
@@ -28,8 +28,6 @@
 const COMPLETIONS_PATH: &str = "/v1/completions";
 /// Time that a caller has to send the body of a request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-/// Time that streams have to abort cleanly after the drain time-out.
-const ABORT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// A running router.
 #[derive(Debug)]
@@ -112,18 +110,11 @@
     listener: TcpListener,
     shutdown: CancellationToken,
 ) -> bool {
+    let close = CancellationToken::new();
     let cfg = ServeConfig {
-        drain_timeout: router.cfg.drain_timeout + ABORT_TIMEOUT,
+        drain_timeout: router.cfg.drain_timeout,
         ..ServeConfig::default()
     };
-    let abort_streams = router.abort_streams.clone();
-    let drain_timeout = router.cfg.drain_timeout;
-    let abort_after_drain = async {
-        shutdown.cancelled().await;
-        tokio::time::sleep(drain_timeout).await;
-        abort_streams.cancel();
-        std::future::pending::<()>().await;
-    };
     let handler = router.clone();
     let service = ServiceBuilder::new()
         .layer(InFlightLimitLayer::new(router.cfg.max_in_flight))
@@ -131,13 +122,36 @@
             let router = handler.clone();
             async move { Ok::<_, Infallible>(handle(&router, req).await) }
         });
-    let is_clean = tokio::select! {
-        is_clean = serve(listener, service, cfg, shutdown.clone()) => is_clean,
-        () = abort_after_drain => false,
+    let server = serve(listener, service, cfg, close.clone());
+    tokio::pin!(server);
+    tokio::select! {
+        () = shutdown.cancelled() => {}
+        _ = &mut server => return false,
+    }
+    let (abort_after, exit_after) = {
+        let now = router.clock.now();
+        let mut stop = router.shutdown();
+        stop.begin(now);
+        (stop.refusal_time_left(now), stop.time_left(now))
+    };
+    log::info!("shutting down; draining");
+    close.cancel();
+    let abort = async {
+        tokio::time::sleep(abort_after).await;
+        router.abort_streams.cancel();
+        std::future::pending::<()>().await;
     };
+    let drained = async {
+        tokio::select! {
+            is_closed = &mut server => is_closed,
+            () = abort => false,
+        }
+    };
+    let is_closed = tokio::time::timeout(exit_after, drained).await;
+    let has_aborted = router.abort_streams.is_cancelled();
     router.stop.cancel();
     router.tasks.close();
-    is_clean
+    !has_aborted && is_closed.unwrap_or(false)
 }
 
 async fn handle<S: Store + HostList, C: Clock>(
@@ -145,7 +159,16 @@
     req: Request<RequestBody>,
 ) -> Response<Body> {
     let arrived = router.clock.now();
-    match respond(router, req, arrived).await {
+    let path = req.uri().path().to_owned();
+    let responded = tokio::select! {
+        biased;
+        responded = respond(router, req, arrived) => responded,
+        () = router.abort_streams.cancelled() => {
+            let refusal = Refusal::new(Outcome::Unknown, Reason::ShuttingDown, "shut down");
+            Err(refusal.with_message(format!("request of {path} is cut at the exit")))
+        }
+    };
+    match responded {
         Ok(res) => res,
         Err(refusal) => refusal.into_response(),
     }
--- a/tests/drains.rs
+++ b/tests/drains.rs
@@ -1,4 +1,4 @@
-//! Agents end within their drain time-out, and name the work that they cut.
+//! Routers and agents end within their drain time-out, admit nothing late, and name the work that they cut.
 
 use std::net::SocketAddr;
 use std::sync::{Mutex, Once, PoisonError};
@@ -8,9 +8,10 @@
 use cactusbarrow_net::SystemClock;
 use cactusbarrow_protocol::CALL_PATH;
 use cactusbarrow_standins::{
-    CallLedger, Caller, Cluster, ClusterConfig, PlainService, PlainServiceConfig, Transcript,
-    api_key,
+    CallLedger, Caller, Cluster, ClusterConfig, PlainService, PlainServiceConfig, RouterProcess,
+    Transcript, api_key,
 };
+use http::Method;
 use log::kv::{Key, Value, VisitSource};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -23,6 +24,7 @@
 const ENDLESS_TOKENS: usize = 100_000;
 /// Time until a request has reached its backend server.
 const START_TIME: Duration = Duration::from_millis(400);
+const TIMEOUT: Duration = Duration::from_secs(20);
 const RETRY_INTERVAL: Duration = Duration::from_millis(5);
 
 /// Lines that the processes of this test have logged.
@@ -190,3 +192,59 @@
     let is_named = tokio::time::timeout(DRAIN_TIMEOUT, is_named).await;
     assert!(is_named.is_ok(), "no line names {generation}");
 }
+
+/// Streams were aborted after the drain time-out, the stop counted as clean then, and no line named them.
+#[tokio::test(flavor = "multi_thread")]
+async fn router_ends_within_its_drain_timeout_and_answers_or_names_what_it_cuts() {
+    record_lines();
+    let mut cluster = Cluster::start(cluster_config()).await;
+    let RouterProcess {
+        handle, process, ..
+    } = cluster.routers.remove(0);
+    let router = handle.listen;
+    let generation = open_endless_stream(router, 2).await;
+    let call = tokio::spawn(async move {
+        Caller::new(&api_key(0))
+            .send(router, Method::POST, "/bookings/cut", &[], "", TIMEOUT)
+            .await
+    });
+    tokio::time::sleep(START_TIME).await;
+    let is_clean = tokio::time::timeout(DRAIN_TIMEOUT, handle.stop()).await;
+    assert_eq!(is_clean.ok(), Some(false));
+    assert!(is_logged(&["generation is cut at the exit", &generation]));
+    let answer = call.await.expect("the call ends").expect("an answer");
+    let text = format!("{answer:?}");
+    assert!(text.contains("shutting_down"), "{text}");
+    assert!(text.contains("unknown"), "{text}");
+    drop(process);
+}
+
+/// Requests on the connections that were accepted last began work that the exit cut.
+#[tokio::test(flavor = "multi_thread")]
+async fn router_admits_nothing_in_a_stop_that_may_outlast_it() {
+    record_lines();
+    let mut cluster = Cluster::start(cluster_config()).await;
+    let RouterProcess {
+        handle, process, ..
+    } = cluster.routers.remove(0);
+    let router = handle.listen;
+    open_endless_stream(router, 3).await;
+    let mut generation_conn = TcpStream::connect(router).await.expect("connect");
+    let mut call_conn = TcpStream::connect(router).await.expect("connect");
+    let stop = tokio::spawn(handle.stop());
+    while TcpStream::connect(router).await.is_ok() {
+        tokio::time::sleep(RETRY_INTERVAL).await;
+    }
+    let body = Cluster::completion_body("a late deposition", 4, 10);
+    let (generation, call) = tokio::join!(
+        exchange(&mut generation_conn, "POST /v1/completions", &body),
+        exchange(&mut call_conn, "POST /bookings/late", ""),
+    );
+    for response in [generation, call] {
+        assert!(response.starts_with("HTTP/1.1 503 "), "{response}");
+        assert!(response.contains("\"shutting_down\""), "{response}");
+        assert!(response.contains("\"not_run\""), "{response}");
+    }
+    stop.await.expect("the router stops");
+    drop(process);
+}
