--- a/crates/cactusbarrow_net/src/unframed_body.rs
+++ b/crates/cactusbarrow_net/src/unframed_body.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http_body::{Body as HttpBody, Frame};
 
-use crate::lingering_stream::ConnectionReset;
+use crate::server_connection::ServerConnection;
 use crate::{Body, BodyError};
 
 /// Body that states neither its length nor its end.
@@ -22,7 +22,7 @@
     /// Its connection is closed.
     Close,
     /// Its connection is closed, or reset if the body fails.
-    CloseOrReset(ConnectionReset),
+    CloseOrReset(ServerConnection),
     /// The body fails.
     Error,
 }
@@ -36,8 +36,8 @@
     }
 
     /// Resets the connection if the body fails, since closing it would end the body in order.
-    pub(crate) fn reset_on_failure(&mut self, reset: ConnectionReset) {
-        self.delivery = Delivery::CloseOrReset(reset);
+    pub(crate) fn reset_on_failure(&mut self, connection: ServerConnection) {
+        self.delivery = Delivery::CloseOrReset(connection);
     }
 
     /// Lets the body fail at its end, for a connection whose streams state their ends.
@@ -52,8 +52,8 @@
         let polled = ready!(Pin::new(&mut *self.body).poll_frame(cx));
         Poll::Ready(match (polled, &self.delivery) {
             (None, Delivery::Error) => Some(Err(BodyError::EndNotStated)),
-            (Some(Err(e)), Delivery::CloseOrReset(reset)) => {
-                reset.set();
+            (Some(Err(e)), Delivery::CloseOrReset(connection)) => {
+                connection.record_failed_body();
                 Some(Err(e))
             }
             (polled, _) => polled,
