Reply to control messages that were sent before a stop

Peers of a router or agent that stopped waited until their time-out: its control server gave up receiving at once, with messages on their way, and the process exited without waiting for those that were being handled, such as claims.

The control server goes on receiving for 50 ms after the stop, and routers and agents wait up to 150 ms for it, within the reserve for the exit.

--- a/crates/cactusbarrow_agent/src/run.rs
+++ b/crates/cactusbarrow_agent/src/run.rs
@@ -13,6 +13,7 @@
 use http::{Request, Response, StatusCode};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
 use crate::agent::Agent;
@@ -23,6 +24,9 @@
 
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time that the control server has to reply to its last requests, at the end of the drain time-out.
+const CONTROL_STOP_TIMEOUT: Duration = Duration::from_millis(150);
+
 /// A running agent.
 #[derive(Debug)]
 pub struct AgentHandle {
@@ -77,11 +81,11 @@
     let agent = Arc::new(Agent::new(cfg, clock, stop.clone()));
     agent.tasks.spawn(backend_probe::run(agent.clone()));
     let control_handler = Arc::new(AgentControl(agent.clone()));
-    agent
+    let control = agent
         .tasks
         .spawn(control.serve(control_handler, stop.clone()));
     let revisions = agent.revisions.subscribe();
-    let done = tokio::spawn(run(agent, listener, shutdown.clone()));
+    let done = tokio::spawn(run(agent, listener, control, shutdown.clone()));
     Ok(AgentHandle {
         listen,
         control: control_addr,
@@ -94,6 +98,7 @@
 async fn run<C: Clock>(
     agent: Arc<Agent<C>>,
     listener: TcpListener,
+    control: JoinHandle<()>,
     shutdown: CancellationToken,
 ) -> bool {
     let close = CancellationToken::new();
@@ -139,6 +144,8 @@
     }
     agent.stop.cancel();
     agent.tasks.close();
+    // A handler that takes longer is cut, as the process has to exit.
+    let _ = tokio::time::timeout(CONTROL_STOP_TIMEOUT, control).await;
     cut.is_empty() && is_closed.unwrap_or(false)
 }
 
--- a/crates/cactusbarrow_net/src/control_server.rs
+++ b/crates/cactusbarrow_net/src/control_server.rs
@@ -4,6 +4,7 @@
 use std::io::Write;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use anng::protocols::reqrep0::Rep0;
 use anng::{Message as NngMessage, Socket};
@@ -18,6 +19,9 @@
 /// Largest number of requests that a server handles at once.
 const MAX_CONCURRENT_REQUESTS: usize = 32;
 
+/// Time after the shutdown for which requests are received that were sent before.
+const LAST_RECEIVE_TIME: Duration = Duration::from_millis(50);
+
 /// Handles the requests that a [`ControlServer`] receives.
 pub trait ControlHandler: Send + Sync + 'static {
     /// Handles one request and returns its reply.
@@ -57,7 +61,7 @@
         self.addr
     }
 
-    /// Serves until `shutdown` is cancelled, then finishes the requests being handled.
+    /// Serves until `shutdown` is cancelled, then replies to the requests that have been sent.
     pub async fn serve<H: ControlHandler>(self, handler: Arc<H>, shutdown: CancellationToken) {
         let mut workers = tokio::task::JoinSet::new();
         for _ in 0..MAX_CONCURRENT_REQUESTS {
@@ -77,10 +81,15 @@
     shutdown: CancellationToken,
 ) {
     let mut cx = socket.context();
+    let stopped = async {
+        shutdown.cancelled().await;
+        tokio::time::sleep(LAST_RECEIVE_TIME).await;
+    };
+    tokio::pin!(stopped);
     loop {
         let received = tokio::select! {
-            () = shutdown.cancelled() => return,
             received = cx.receive() => received,
+            () = &mut stopped => return,
         };
         let (message, responder) = match received {
             Ok(received) => received,
--- a/crates/cactusbarrow_router/src/run.rs
+++ b/crates/cactusbarrow_router/src/run.rs
@@ -13,6 +13,7 @@
 use cactusbarrow_policy::{Outcome, Reason, Revision};
 use http::{Method, Request, Response};
 use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 use tower::ServiceBuilder;
 
@@ -29,6 +30,9 @@
 /// Time that a caller has to send the body of a request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Time that the control server has to reply to its last requests, at the end of the drain time-out.
+const CONTROL_STOP_TIMEOUT: Duration = Duration::from_millis(150);
+
 /// A running router.
 #[derive(Debug)]
 pub struct RouterHandle {
@@ -88,14 +92,14 @@
     let stop = CancellationToken::new();
     let router = Arc::new(Router::new(cfg, own, store, clock, stop.clone()));
     let handler = Arc::new(RouterControl(router.clone()));
-    router.tasks.spawn(control.serve(handler, stop));
+    let control = router.tasks.spawn(control.serve(handler, stop));
     router.tasks.spawn(config_sync::sync_config(router.clone()));
     router.tasks.spawn(hosts::watch_routers(router.clone()));
     router.tasks.spawn(hosts::watch_leaving(router.clone()));
     router.tasks.spawn(gossip::run_gossip(router.clone()));
     router.tasks.spawn(poll::poll_agents(router.clone()));
     let config = router.config.subscribe();
-    let done = tokio::spawn(run(router, listener, shutdown.clone()));
+    let done = tokio::spawn(run(router, listener, control, shutdown.clone()));
     Ok(RouterHandle {
         listen,
         control: control_addr,
@@ -108,6 +112,7 @@
 async fn run<S: Store + HostList, C: Clock>(
     router: Arc<Router<S, C>>,
     listener: TcpListener,
+    control: JoinHandle<()>,
     shutdown: CancellationToken,
 ) -> bool {
     let close = CancellationToken::new();
@@ -151,6 +156,8 @@
     let has_aborted = router.abort_streams.is_cancelled();
     router.stop.cancel();
     router.tasks.close();
+    // A handler that takes longer is cut, as the process has to exit.
+    let _ = tokio::time::timeout(CONTROL_STOP_TIMEOUT, control).await;
     !has_aborted && is_closed.unwrap_or(false)
 }
 
