Space reads of origins by the store's limit instead of a fixed 200 ms

All callers of a gateway that ends resume within milliseconds of each other, so most of them met a read that had just begun.

The interval between reads now follows the number of gateways and the store's limit, as that between writes does: together they use at most a fifth of its reads, so five gateways read every 12.5 ms if need be, and 80 or more every 200 ms as before. Reads are still shared and begin only for a caller, and a failed one still pauses for 200 ms.

--- a/crates/cactusbarrow_gateway/src/origin_store.rs
+++ b/crates/cactusbarrow_gateway/src/origin_store.rs
@@ -11,7 +11,7 @@
 use cactusbarrow_net::Clock;
 use cactusbarrow_policy::{
     Backoff, OriginConfig, ServedPage, ServedVersion, ServedVersions, ServiceId, SoftwareId,
-    StoreEra, StorePosition, StreamId, StreamOrigin, origin_write_interval,
+    StoreEra, StorePosition, StreamId, StreamOrigin, origin_read_interval, origin_write_interval,
 };
 use cactusbarrow_protocol::generated::{
     ServedVersion as WireVersion, StreamOriginGroup, StreamOriginPage,
@@ -24,8 +24,8 @@
 /// Prefix of the keys that hold pages of origins; the gateway's address and the page's slot follow.
 pub(crate) const PAGES_PREFIX: &str = "streams/";
 
-/// Shortest time between two reads of all pages.
-const READ_INTERVAL: Duration = Duration::from_millis(200);
+/// Time after a failed read of all pages in which no other one begins.
+const FAILED_READ_PAUSE: Duration = Duration::from_millis(200);
 
 /// Back-off between calls while the store fails.
 const RETRY_BACKOFF: Backoff =
@@ -44,19 +44,12 @@
 struct LastRead {
     /// Number of reads that had begun, with this one.
     number: u64,
-    /// Start of the read, or its end if it failed.
-    at: Instant,
+    /// Time at which another read may begin.
+    next_at: Instant,
     /// Versions that the pages tell; `None` if they could not be read.
     served: Option<ServedVersions>,
 }
 
-impl LastRead {
-    /// Returns the time for which another read is not to begin.
-    fn wait(&self, now: Instant) -> Duration {
-        READ_INTERVAL.saturating_sub(now.saturating_duration_since(self.at))
-    }
-}
-
 /// Reads the pages of all gateways, by a read that begins after this call: a stream that is resumed may have begun
 /// just before at a version that no page named then. Calls beside each other share a read.
 ///
@@ -67,7 +60,7 @@
     let begun_before = reads.begun.load(Ordering::Relaxed);
     let mut last_read = reads.last.lock().await;
     if let Some(last) = &*last_read {
-        let wait = last.wait(shared.now());
+        let wait = last.next_at.saturating_duration_since(shared.now());
         if last.number > begun_before || (last.served.is_none() && !wait.is_zero()) {
             return last.served.clone();
         }
@@ -97,10 +90,14 @@
         }
     };
     // Callers that waited for a read that failed do not repeat it one after another.
-    let at = if result.is_ok() { now } else { shared.now() };
+    let next_at = if result.is_ok() {
+        now + read_interval(shared)
+    } else {
+        shared.now() + FAILED_READ_PAUSE
+    };
     *last_read = Some(LastRead {
         number,
-        at,
+        next_at,
         served: served.clone(),
     });
     served
@@ -308,6 +305,11 @@
     origin_write_interval(gateways, shared.settings.store_writes_per_s)
 }
 
+fn read_interval<C: Clock>(shared: &Shared<C>) -> Duration {
+    let gateways = shared.peers().live_peers(shared.now()).count() + 1;
+    origin_read_interval(gateways, shared.settings.store_reads_per_s)
+}
+
 fn page_prefix(ip: IpAddr) -> String {
     format!("{PAGES_PREFIX}{ip}/")
 }
--- a/crates/cactusbarrow_policy/src/lib.rs
+++ b/crates/cactusbarrow_policy/src/lib.rs
@@ -97,7 +97,7 @@
 pub use origin_holders::{
     ASKED_ORIGIN_HOLDERS, AnnouncedOrigin, ORIGIN_HOLDERS, UnstoredOrigins, origin_holders,
 };
-pub use origin_pages::{OriginPages, origin_write_interval};
+pub use origin_pages::{OriginPages, origin_read_interval, origin_write_interval};
 pub use outcome::{Outcome, Reason};
 pub use part_quarantine::{LostAttempt, PartQuarantine, QuarantineConfig, QuarantineVerdict};
 pub use peer_fetches::{PeerFetchConfig, PeerFetches};
--- a/crates/cactusbarrow_policy/src/origin_pages.rs
+++ b/crates/cactusbarrow_policy/src/origin_pages.rs
@@ -10,6 +10,15 @@
 /// Shortest time between two writes of one gateway.
 const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Share of the store's reads per second that all gateways together use for the pages of the others.
+const READ_SHARE: f64 = 0.2;
+
+/// Shortest time between the starts of two reads of one gateway.
+const MIN_READ_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Longest time between the starts of two reads of one gateway: callers wait for it.
+const MAX_READ_INTERVAL: Duration = Duration::from_millis(200);
+
 #[derive(Clone, Debug, Default)]
 struct Page {
     origins: Vec<StreamOrigin>,
@@ -151,3 +160,15 @@
         .unwrap_or(Duration::MAX)
         .max(MIN_WRITE_INTERVAL)
 }
+
+/// Returns the time between the starts of two reads of all pages by one of `gateways`, at most `reads_per_s` of
+/// which the store accepts from all callers.
+///
+/// Load pattern: a gateway ends, and all of its callers resume their streams at the others within milliseconds.
+/// Each of them needs a read that begins after its request.
+pub fn origin_read_interval(gateways: usize, reads_per_s: f64) -> Duration {
+    let seconds = gateways as f64 / (reads_per_s * READ_SHARE).max(f64::MIN_POSITIVE);
+    Duration::try_from_secs_f64(seconds)
+        .unwrap_or(Duration::MAX)
+        .clamp(MIN_READ_INTERVAL, MAX_READ_INTERVAL)
+}
--- a/crates/cactusbarrow_policy/tests/stream_origins.rs
+++ b/crates/cactusbarrow_policy/tests/stream_origins.rs
@@ -6,7 +6,7 @@
 
 use cactusbarrow_policy::{
     OriginConfig, OriginPages, ServiceId, SoftwareId, StreamId, StreamOrigin, StreamOrigins,
-    origin_write_interval,
+    origin_read_interval, origin_write_interval,
 };
 use common::fixed_seed_config;
 use proptest::prelude::*;
@@ -125,6 +125,27 @@
     assert_eq!(origin_write_interval(1, 0.0), Duration::MAX);
 }
 
+/// Guards against callers that wait long for a read because another caller's began just before theirs.
+#[test]
+fn callers_that_resume_together_wait_for_no_long_interval_between_reads() {
+    let few = Duration::from_millis(20);
+    for gateways in 1..=8 {
+        assert!(origin_read_interval(gateways, 2_000.0) <= few, "{gateways}");
+    }
+    for reads_per_s in [0.0, 1.0, 500.0, 2_000.0] {
+        let longest = Duration::from_millis(200);
+        assert!(origin_read_interval(1_000, reads_per_s) <= longest);
+    }
+}
+
+#[test]
+fn read_interval_keeps_within_a_share_of_the_stores_reads_up_to_80_gateways() {
+    for gateways in [1, 5, 30, 80] {
+        let interval = origin_read_interval(gateways, 2_000.0);
+        assert!(gateways as f64 / interval.as_secs_f64() <= 400.0 + 1e-6);
+    }
+}
+
 proptest! {
     #![proptest_config(fixed_seed_config(60))]
 
