Send resumable streams only to the incarnation that registered the entry

A stream went on at an engine of another software version, or began at one under the name of the old version, if the engine had started again under its id and address and its entry did not tell yet.

The version of a stream is that of the entry, and no response names the version or the incarnation that runs. An idle engine that starts again breaks no connection, so a gateway cannot see it from failures.

A gateway now asks for a report on the connection that is to carry the stream, which belongs to one process, and compares its start (`born`) with that of the entry. While they differ nothing is sent: the engine is used last, and a caller for whom no other is left waits for the entry as it does for an engine that is not reached. What is not stated is not compared. A lost engine is back only if the registered incarnation responds.

Changes to tests: raw servers and the endless one answer reports and go on with the connection, as engines do; so bytes without end come in place of the stream. In requests_count_by_how_they_end the engine stalls in the stream instead of freezing whole, since a frozen engine sends no report and gets no stream. In leaving_engine_completes_its_stream_and_gets_nothing_new the engine announces its departure in the head of the stream instead of in all responses, since a report that announces it keeps the stream away. Their assertions are unchanged.

--- a/crates/cactusbarrow_gateway/src/backend_connection.rs
+++ b/crates/cactusbarrow_gateway/src/backend_connection.rs
@@ -1,13 +1,15 @@
-//! A connection to a backend server that carries one request and its response.
+//! A connection to a backend server that carries one request and its response, and reports before it.
 //!
 //! Opening a new connection shows whether a backend server is reachable before a call that must
-//! not be repeated is sent on it, and no late response to another request can arrive on it.
+//! not be repeated is sent on it, and no late response to another request can arrive on it, but one to a report,
+//! which names no request.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
 use cactusbarrow_adapter::{EngineResponse, REQUEST_ID};
-use cactusbarrow_net::{Body, BodyFraming, NetError};
+use cactusbarrow_net::{Body, BodyFraming, NetError, collect_limited};
 use cactusbarrow_policy::LossCause;
 use http::{Request, response};
 use hyper::body::Incoming;
@@ -20,7 +22,7 @@
 /// (`TCP_USER_TIMEOUT`).
 const USER_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// An open connection that has not carried a request yet.
+/// An open connection that has carried no request but for reports.
 pub(crate) struct BackendConnection {
     peer: SocketAddr,
     sender: SendRequest<Body>,
@@ -104,12 +106,41 @@
         })
     }
 
+    /// Sends a request and collects the response; the connection is returned unless it is closed then.
+    pub(crate) async fn exchange(
+        mut self,
+        step: &'static str,
+        req: Request<Body>,
+        max_bytes: usize,
+    ) -> Result<(response::Parts, Bytes, Option<Self>), NetError> {
+        let (head, body, _) = self.send_request(step, req).await?;
+        let peer = self.peer.to_string();
+        let body = collect_limited(body, max_bytes, &peer).await?;
+        let body = body.ok_or_else(|| NetError::new(step, &peer, "response is too large"))?;
+        let is_open = self.sender.ready().await.is_ok();
+        Ok((head, body, is_open.then_some(self)))
+    }
+
     /// Sends a request and waits for the head of the response.
     pub(crate) async fn send(
         mut self,
         step: &'static str,
         req: Request<Body>,
     ) -> Result<StreamingResponse, NetError> {
+        let (head, body, framing) = self.send_request(step, req).await?;
+        Ok(StreamingResponse {
+            head,
+            body,
+            framing,
+            driver: self.driver,
+        })
+    }
+
+    async fn send_request(
+        &mut self,
+        step: &'static str,
+        req: Request<Body>,
+    ) -> Result<(response::Parts, Incoming, BodyFraming), NetError> {
         let has_id = req.headers().contains_key(REQUEST_ID);
         let method = req.method().clone();
         let result = self.sender.send_request(req).await;
@@ -123,11 +154,6 @@
         let (head, body) = res.into_parts();
         let framing = BodyFraming::of_response(&method, &head)
             .map_err(|e| NetError::new(step, self.peer, e))?;
-        Ok(StreamingResponse {
-            head,
-            body,
-            framing,
-            driver: self.driver,
-        })
+        Ok((head, body, framing))
     }
 }
--- a/crates/cactusbarrow_gateway/src/backend_probes.rs
+++ b/crates/cactusbarrow_gateway/src/backend_probes.rs
@@ -7,10 +7,11 @@
     decode_instance, decode_server_notice, instance_request, report_request,
 };
 use cactusbarrow_net::{Clock, NetError};
-use cactusbarrow_policy::{BackendKey, HeartbeatAction, LossCause};
+use cactusbarrow_policy::{BackendEntry, BackendKey, HeartbeatAction, LossCause};
 use tokio_util::sync::CancellationToken;
 
 use crate::backend_connection::BackendConnection;
+use crate::incarnation_check;
 use crate::shared::Shared;
 
 /// Interval at which the heartbeats of backend servers are checked.
@@ -103,13 +104,32 @@
     match decode_instance(&head.headers) {
         Some(instance) if instance == *entry.instance => {
             shared.record_notice(&entry, notice, sent_at);
-            shared.record_alive(key);
+            if is_registered(&shared, key, &entry).await {
+                shared.record_alive(key);
+            }
         }
         Some(_) => shared.record_loss(key, LossCause::Replaced, "ask for identity"),
         None => shared.record_unnamed_notice(&entry, notice),
     }
 }
 
+/// Returns whether the incarnation that registered the entry responds.
+async fn is_registered<C: Clock>(
+    shared: &Shared<C>,
+    key: BackendKey,
+    entry: &BackendEntry,
+) -> bool {
+    if !shared.fleet().accepts_orders(key, shared.now()) {
+        return true;
+    }
+    let exchange = async {
+        let conn = BackendConnection::open(entry.address, EXCHANGE_TIMEOUT).await?;
+        incarnation_check::check(shared, (key, entry), conn).await
+    };
+    let result = tokio::time::timeout(EXCHANGE_TIMEOUT, exchange).await;
+    matches!(result, Ok(Ok(Some(_))))
+}
+
 fn record_probe_failure<C: Clock>(shared: &Shared<C>, key: BackendKey, e: &NetError) {
     log::info!(step = e.step, peer = e.peer.as_str(); "probe failed: {e}");
     let cause = shared.fleet().probe_loss_cause(key, e.is_refused);
--- a/crates/cactusbarrow_gateway/src/generation/attempt.rs
+++ b/crates/cactusbarrow_gateway/src/generation/attempt.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use cactusbarrow_adapter::{CopyLocation, EngineRequest, EngineResponse, decode_engine_response};
-use cactusbarrow_net::{BodyFraming, Clock, EventSplitter, NetError, RawEvent, collect_limited};
+use cactusbarrow_net::{BodyFraming, Clock, EventSplitter, RawEvent, collect_limited};
 use cactusbarrow_policy::{
     AttemptStreamEnd, BackendEntry, BackendKey, BackendWork, LossCause, PromptLocation,
     ResumeEvent, SoftwareId, stable_hash,
@@ -17,9 +17,8 @@
 
 use super::copy_manager::{CopyManager, Holder};
 use super::loss_watch::LossWatch;
-use crate::backend_connection::{
-    BackendConnection, StreamingResponse, log_foreign_response, loss_cause,
-};
+use crate::backend_connection::{BackendConnection, log_foreign_response, loss_cause};
+use crate::incarnation_check;
 use crate::request::AdmittedRequest;
 use crate::shared::Shared;
 
@@ -193,9 +192,9 @@
         let shared = &req.shared;
         let mut loss = LossWatch::new(shared.clone(), target.key);
         let load_guard = LoadGuard::new(req, &target);
-        let conn = match connect(req, &target).await {
+        let conn = match connect_to_chosen(req, &target, &mut loss, timeout, &judge).await {
             Ok(conn) => conn,
-            Err(event) => return OpenResult::Failed(event),
+            Err(result) => return result,
         };
         let sent_at = shared.now();
         if !shared.fleet().is_available(target.key, sent_at) {
@@ -217,10 +216,10 @@
             resume_from: target.resume_from.clone(),
         };
         let send = conn.send("send generation", engine_request.encode());
-        let result = match wait_for_head(req, send, &mut loss, timeout, judge).await {
-            HeadResult::Ended(result) => result,
-            HeadResult::Suspected(event) => return OpenResult::Failed(event),
-            HeadResult::Expired => return OpenResult::Expired,
+        let result = match wait_for_response(req, send, &mut loss, timeout, judge).await {
+            ResponseWait::Ended(result) => result,
+            ResponseWait::Suspected(event) => return OpenResult::Failed(event),
+            ResponseWait::Expired => return OpenResult::Expired,
         };
         let response = match result {
             Ok(response) => response,
@@ -360,38 +359,73 @@
     })
 }
 
-/// Result of waiting for the head of a response.
-enum HeadResult {
-    /// The head arrived, or the connection failed.
-    Ended(Result<StreamingResponse, NetError>),
+/// Opens a connection to the engine of an attempt, and for a generation that may go on elsewhere to the very
+/// incarnation that was chosen; fails with the result of the attempt.
+async fn connect_to_chosen<C: Clock>(
+    req: &AdmittedRequest<C>,
+    target: &AttemptTarget,
+    loss: &mut LossWatch<C>,
+    timeout: Duration,
+    judge: impl Fn(ResumeEvent) -> Option<ResumeEvent>,
+) -> Result<BackendConnection, OpenResult<C>> {
+    let conn = connect(req, target).await.map_err(OpenResult::Failed)?;
+    if !req.kind.can_resume() {
+        return Ok(conn);
+    }
+    let shared = &req.shared;
+    if !shared.fleet().is_available(target.key, shared.now()) {
+        return Err(OpenResult::Failed(ResumeEvent::NotConnected));
+    }
+    let check = incarnation_check::check(shared, (target.key, &target.entry), conn);
+    let event = match wait_for_response(req, check, loss, timeout, judge).await {
+        ResponseWait::Ended(Ok(Some(conn))) => return Ok(conn),
+        ResponseWait::Ended(Ok(None)) => ResumeEvent::Restarted,
+        ResponseWait::Ended(Err(e)) => {
+            log::info!(
+                request_id = req.caller.request_id.as_str(),
+                instance = &*target.entry.instance,
+                step = e.step;
+                "engine sent no report: {e}"
+            );
+            ResumeEvent::NotConnected
+        }
+        ResponseWait::Suspected(_) => ResumeEvent::Unreached,
+        ResponseWait::Expired => return Err(OpenResult::Expired),
+    };
+    Err(OpenResult::Failed(event))
+}
+
+/// Result of waiting for an engine's response.
+enum ResponseWait<T> {
+    /// The response arrived, or the connection failed.
+    Ended(T),
     /// The engine is suspected, and the attempt is not kept.
     Suspected(ResumeEvent),
     /// The deadline of the request has passed.
     Expired,
 }
 
-/// Waits for the head of a response; `judge` returns `None` if an attempt at a suspected engine is
-/// kept.
-async fn wait_for_head<C: Clock>(
+/// Waits for an engine's response; `judge` returns `None` if an attempt at a suspected engine is kept.
+async fn wait_for_response<C: Clock, T>(
     req: &AdmittedRequest<C>,
-    send: impl Future<Output = Result<StreamingResponse, NetError>>,
+    response: impl Future<Output = T>,
     loss: &mut LossWatch<C>,
     timeout: Duration,
     judge: impl Fn(ResumeEvent) -> Option<ResumeEvent>,
-) -> HeadResult {
-    let mut send = pin!(send);
+) -> ResponseWait<T> {
+    let mut response = pin!(response);
     let mut stalled_at = req.shared.now() + timeout;
     loop {
         let suspicion = tokio::select! {
             // A response that has arrived is handled before a suspicion.
             biased;
-            result = &mut send => return HeadResult::Ended(result),
-            () = tokio::time::sleep_until(req.deadline.into()) => return HeadResult::Expired,
+            result = &mut response => return ResponseWait::Ended(result),
+            () = tokio::time::sleep_until(req.deadline.into()) => return ResponseWait::Expired,
             () = loss.suspected() => ResumeEvent::Silent,
             () = tokio::time::sleep_until(stalled_at.into()) => ResumeEvent::Stalled,
         };
         if let Some(event) = judge(suspicion) {
-            return HeadResult::Suspected(event);
+            return ResponseWait::Suspected(event);
         }
         loss.keep(&req.caller.request_id, suspicion);
         if suspicion == ResumeEvent::Stalled {
--- a/crates/cactusbarrow_gateway/src/lib.rs
+++ b/crates/cactusbarrow_gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod engine_end;
 mod generation;
 mod health_check;
+mod incarnation_check;
 mod listener;
 mod origin_exchange;
 mod origin_store;
--- a/crates/cactusbarrow_gateway/src/server_notices.rs
+++ b/crates/cactusbarrow_gateway/src/server_notices.rs
@@ -22,10 +22,15 @@
         notice: ServerNotice,
         sent_at: Instant,
     ) {
-        match notice.retry_after {
-            Some(wait) => self.record_backoff(entry, wait),
-            None => self.fleet().record_response(entry, sent_at),
+        if notice.retry_after.is_none() {
+            self.fleet().record_response(entry, sent_at);
         }
+        self.record_statement(entry, notice);
+    }
+
+    /// Records what the same server states in a response that ends no time that it stated before.
+    pub(crate) fn record_statement(&self, entry: &BackendEntry, notice: ServerNotice) {
+        self.record_unnamed_notice(entry, notice);
         if notice.is_leaving && self.fleet().record_departure(entry, self.now()) {
             self.handle_departure(entry, "response");
         }
--- a/crates/cactusbarrow_gateway/tests/common/mod.rs
+++ b/crates/cactusbarrow_gateway/tests/common/mod.rs
@@ -12,8 +12,7 @@
 use bytes::Bytes;
 use cactusbarrow_adapter::parse_settings;
 use cactusbarrow_adapter_standins::{
-    BackendStandin, CallerHead, DEFAULT_SOFTWARE, StoreStandin, config_json,
-    entry_json_with_software, settings_yaml,
+    BackendStandin, CallerHead, DEFAULT_SOFTWARE, StoreStandin, config_json, settings_yaml,
 };
 use cactusbarrow_gateway::{GatewayHandle, start};
 use cactusbarrow_net::{Body, Clock, HttpClient, HttpVersion, SystemClock};
@@ -106,8 +105,7 @@
         state: &str,
     ) {
         let key = format!("servers/{}", backend.instance());
-        let software = backend.software();
-        let entry = entry_json_with_software(service, backend.addr(), zone, state, software);
+        let entry = backend.entry_json(service, zone, state);
         self.store.put(&key, &entry);
     }
 
--- a/crates/cactusbarrow_gateway/tests/common/raw_server.rs
+++ b/crates/cactusbarrow_gateway/tests/common/raw_server.rs
@@ -81,27 +81,32 @@
 
     async fn serve(self, mut conn: TcpStream, index: usize) {
         let mut buf = Vec::new();
-        while !buf.windows(4).any(|window| window == b"\r\n\r\n") {
-            match conn.read_buf(&mut buf).await {
-                Ok(0) | Err(_) => return,
-                Ok(_) => {}
+        let id = loop {
+            buf.clear();
+            while !buf.windows(4).any(|window| window == b"\r\n\r\n") {
+                match conn.read_buf(&mut buf).await {
+                    Ok(0) | Err(_) => return,
+                    Ok(_) => {}
+                }
             }
-        }
-        let head = String::from_utf8_lossy(&buf).to_lowercase();
-        let id = head
-            .lines()
-            .find_map(|line| line.strip_prefix("cactusbarrow-request-id: "));
-        let Some(id) = id.map(str::trim) else {
+            let head = String::from_utf8_lossy(&buf).to_lowercase();
+            let mut lines = head.lines();
+            let id = lines.find_map(|line| line.strip_prefix("cactusbarrow-request-id: "));
+            if let Some(id) = id {
+                break id.trim().to_owned();
+            }
+            // A report or a health check, which is answered soundly.
             let health = format!(
                 "HTTP/1.1 200 OK\r\ncactusbarrow-instance-id: raw-{index}\r\n\
                  content-length: 0\r\n\r\n"
             );
-            let _ = conn.write_all(health.as_bytes()).await;
-            return;
+            if conn.write_all(health.as_bytes()).await.is_err() {
+                return;
+            }
         };
-        let earlier_runs = self.runs_of(id);
-        self.runs.lock().expect("not poisoned").push(id.to_owned());
-        let response = (self.script)(id, earlier_runs);
+        let earlier_runs = self.runs_of(&id);
+        self.runs.lock().expect("not poisoned").push(id.clone());
+        let response = (self.script)(&id, earlier_runs);
         let _ = conn.write_all(&response.bytes).await;
         match response.end {
             ConnectionEnd::Close => {
--- a/crates/cactusbarrow_gateway/tests/leaving_servers.rs
+++ b/crates/cactusbarrow_gateway/tests/leaving_servers.rs
@@ -123,8 +123,9 @@
 async fn leaving_engine_completes_its_stream_and_gets_nothing_new() {
     let cluster = TestCluster::start_with_interval(2, Duration::from_millis(200)).await;
     let gateway = cluster.one_gateway().await;
+    // The engine announces its departure in the head of the response, after its report.
     for engine in &cluster.engines {
-        engine.set_leaving(true);
+        engine.set_run_time(Duration::from_millis(300));
     }
     let head = caller_head("long", "/stream/a");
     let long = gateway.call(&head, "POST");
@@ -132,8 +133,9 @@
         let leaving = || cluster.engines.iter().find(|e| !e.runs().is_empty());
         eventually("the stream runs", || leaving().is_some()).await;
         let leaving = leaving().expect("an engine runs the stream");
+        leaving.set_leaving(true);
         for engine in &cluster.engines {
-            engine.set_leaving(engine.instance() == leaving.instance());
+            engine.set_run_time(Duration::ZERO);
         }
         tokio::time::sleep(DEPARTURE_TIME).await;
         let from = Instant::now();
--- a/crates/cactusbarrow_gateway/tests/request_ends.rs
+++ b/crates/cactusbarrow_gateway/tests/request_ends.rs
@@ -158,7 +158,8 @@
         (recorder.ended("answered"), recorder.ended("refused")),
         (2, 1)
     );
-    cluster.engines[0].set_fault(Some(Fault::Freeze));
+    // An engine that sends no report would get no stream.
+    cluster.engines[0].set_fault(Some(Fault::Stall));
     let req = request("POST", "left", "/stream/1");
     conn.write_all(&req).await.expect("send a request");
     let count = conn.read(&mut [0; 4_096]).await.expect("a response");
--- a/crates/cactusbarrow_gateway/tests/streams_ended_by_errors.rs
+++ b/crates/cactusbarrow_gateway/tests/streams_ended_by_errors.rs
@@ -398,21 +398,28 @@
 
 async fn serve(mut conn: TcpStream, engine: usize, script: Arc<Mutex<Script>>) {
     let mut buf = Vec::new();
-    while !buf.windows(4).any(|window| window == b"\r\n\r\n") || !is_read(&buf) {
-        match conn.read_buf(&mut buf).await {
-            Ok(0) | Err(_) => return,
-            Ok(_) => {}
+    let head = loop {
+        buf.clear();
+        while !buf.windows(4).any(|window| window == b"\r\n\r\n") || !is_read(&buf) {
+            match conn.read_buf(&mut buf).await {
+                Ok(0) | Err(_) => return,
+                Ok(_) => {}
+            }
         }
-    }
-    let head = String::from_utf8_lossy(&buf).to_lowercase();
-    let header = |name: &str| head.lines().find_map(|line| line.strip_prefix(name));
-    let Some(id) = header("cactusbarrow-request-id: ") else {
+        let head = String::from_utf8_lossy(&buf).to_lowercase();
+        if head.contains("\r\ncactusbarrow-request-id: ") {
+            break head;
+        }
+        // A report or a health check, which is answered soundly.
         let health = format!(
             "HTTP/1.1 200 OK\r\ncactusbarrow-instance-id: raw-{engine}\r\ncontent-length: 0\r\n\r\n"
         );
-        let _ = conn.write_all(health.as_bytes()).await;
-        return;
+        if conn.write_all(health.as_bytes()).await.is_err() {
+            return;
+        }
     };
+    let header = |name: &str| head.lines().find_map(|line| line.strip_prefix(name));
+    let id = header("cactusbarrow-request-id: ").unwrap_or_default();
     let last = header("last-event-id: ").map_or(0, |last| last.parse().expect("a number"));
     let reply = {
         let mut script = script.lock().expect("not poisoned");
--- a/crates/cactusbarrow_gateway/tests/versions_joining.rs
+++ b/crates/cactusbarrow_gateway/tests/versions_joining.rs
@@ -11,7 +11,7 @@
 use common::streams::{begin_stream, writers};
 use common::{
     CallerResponse, EVENTS, Gateway, KillableGateway, TestCluster, caller_head, eventually,
-    free_ports,
+    free_ports, start_engine,
 };
 
 const EVENT_INTERVAL: Duration = Duration::from_millis(5);
@@ -209,17 +209,22 @@
     }
 }
 
+/// Ends the only engine and starts it again in place, at `v2`.
+async fn start_again(cluster: &mut TestCluster) {
+    let engine = cluster.engines.remove(0);
+    engine.kill();
+    tokio::time::sleep(RECOVERY_TIME).await;
+    let again = engine.restart_with_software(engine.instance(), "v2").await;
+    cluster.engines.push(again.expect("the address is free"));
+}
+
 /// Load pattern: an engine starts again under its id and address, and its entry tells its new version later.
 #[tokio::test]
 async fn engine_that_started_again_at_another_version_continues_no_stream() {
     let mut cluster = TestCluster::start_with_software(&["v1"], EVENT_INTERVAL).await;
     let gateway = cluster.one_gateway().await;
     let last_event = begin_stream(&cluster, &gateway, "begun", "v1").await;
-    let engine = cluster.engines.remove(0);
-    engine.kill();
-    tokio::time::sleep(RECOVERY_TIME).await;
-    let again = engine.restart_with_software(engine.instance(), "v2").await;
-    cluster.engines.push(again.expect("the address is free"));
+    start_again(&mut cluster).await;
     for attempt in 0..10 {
         let id = format!("again-{attempt}");
         let response = resume(&gateway, &id, Some("begun"), last_event).await;
@@ -228,3 +233,86 @@
         tokio::time::sleep(RECOVERY_TIME).await;
     }
 }
+
+/// Resumes a stream that `v2` began, and checks that `v2` completes it.
+async fn assert_resumed_at_v2(gateway: &Gateway, begun: &str, last_event: u64) {
+    let response = resume(gateway, "again", Some(begun), last_event).await;
+    assert_eq!(response.status(), 200);
+    let ids: Vec<u64> = (last_event + 1..=EVENTS).collect();
+    assert_eq!(response.event_ids(), ids);
+    assert_eq!(writers(&response), BTreeSet::from(["v2"]));
+}
+
+/// Load pattern: the same, and streams begin there before the entry tells.
+#[tokio::test]
+async fn stream_that_began_at_an_engine_that_started_again_is_of_its_new_version() {
+    for closes_connections in [false, true] {
+        let mut cluster = TestCluster::start_with_software(&["v1"], EVENT_INTERVAL).await;
+        let gateway = cluster.one_gateway().await;
+        start_again(&mut cluster).await;
+        let engine = &cluster.engines[0];
+        engine.set_closes_connections(closes_connections);
+        let next = start_engine(1, EVENT_INTERVAL).await;
+        let begin = begin_stream(&cluster, &gateway, "begun", "v2");
+        let tell = async {
+            tokio::time::sleep(RECOVERY_TIME).await;
+            cluster.put_entry(engine, "llm", "zona-pa", "ready");
+        };
+        let (last_event, ()) = tokio::join!(begin, tell);
+        // Another version serves beside it from now on.
+        cluster.put_entry(&next, "llm", "zona-ct", "ready");
+        eventually("both are listed", || gateway.handle.status().backends == 4).await;
+        assert_resumed_at_v2(&gateway, "begun", last_event).await;
+        assert!(next.runs().is_empty(), "closes: {closes_connections}");
+    }
+}
+
+/// Load pattern: the same, while a stream that was placed there waits for its first event.
+#[tokio::test]
+async fn engine_that_starts_again_before_the_first_event_brings_no_other_version() {
+    let mut cluster = TestCluster::start_with_software(&["v1"], EVENT_INTERVAL).await;
+    let gateway = cluster.one_gateway().await;
+    cluster.engines[0].set_run_time(MEETING_TIME);
+    let restart = async {
+        let engine = cluster.engines[0].clone();
+        eventually("the stream is placed", || !engine.runs().is_empty()).await;
+        start_again(&mut cluster).await;
+        cluster.engines[0].set_run_time(Duration::ZERO);
+        tokio::time::sleep(RECOVERY_TIME).await;
+        let runs = cluster.engines[0].runs().len();
+        cluster.put_entry(&cluster.engines[0], "llm", "zona-pa", "ready");
+        runs
+    };
+    let ((begun, response), runs) = tokio::join!(serve_whole(&gateway), restart);
+    assert_eq!(runs, 0, "it ran before the entry told");
+    assert_eq!(response.event_ids(), (1..=EVENTS).collect::<Vec<_>>());
+    assert_eq!(writers(&response), BTreeSet::from(["v2"]));
+    assert_resumed_at_v2(&gateway, &begun, 4).await;
+}
+
+/// Requests a stream until it is served; returns the id of the request that succeeded.
+async fn serve_whole(gateway: &Gateway) -> (String, CallerResponse) {
+    let mut attempt = 0;
+    loop {
+        let id = format!("begun-{attempt}");
+        let response = gateway.call(&caller_head(&id, "/stream/1"), "POST").await;
+        if response.status() == 200 {
+            return (id, response);
+        }
+        attempt += 1;
+        tokio::time::sleep(RECOVERY_TIME).await;
+    }
+}
+
+/// Load pattern: engines close their connections after each response, so that reports need connections of their
+/// own.
+#[tokio::test]
+async fn engine_that_closes_its_connections_serves_streams() {
+    let cluster = TestCluster::start_with_software(&["v1"], EVENT_INTERVAL).await;
+    let gateway = cluster.one_gateway().await;
+    cluster.engines[0].set_closes_connections(true);
+    let head = caller_head("begun", "/stream/1");
+    let response = gateway.call(&head, "POST").await;
+    assert_eq!(response.event_ids(), (1..=EVENTS).collect::<Vec<_>>());
+    assert_eq!(cluster.run_count("begun"), 1);
+}
--- a/crates/cactusbarrow_policy/src/backend.rs
+++ b/crates/cactusbarrow_policy/src/backend.rs
@@ -41,6 +41,19 @@
     pub incarnation: u64,
 }
 
+impl BackendEntry {
+    /// Returns whether the entry tells the incarnations of its instance apart.
+    pub fn states_incarnation(&self) -> bool {
+        self.incarnation != 0
+    }
+
+    /// Returns whether a process that states this incarnation may have registered the entry; without a
+    /// statement on both sides it may.
+    pub fn may_be_of(&self, incarnation: Option<u64>) -> bool {
+        !self.states_incarnation() || incarnation.is_none_or(|stated| stated == self.incarnation)
+    }
+}
+
 /// Identifies an incarnation of a backend server at its address, for all gateways.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct ServerIncarnation(pub u64);
@@ -94,6 +107,8 @@
     Contested,
     /// Another instance responds at its address.
     Replaced,
+    /// Another incarnation responds at its address, whose entry has not arrived.
+    Restarted,
 }
 
 impl LossCause {
@@ -109,6 +124,7 @@
             Self::Unreachable => Reason::NotConnected,
             Self::Silent => Reason::Silent,
             Self::Contested | Self::Replaced => Reason::OtherInstance,
+            Self::Restarted => Reason::OtherIncarnation,
         }
     }
 }
--- a/crates/cactusbarrow_policy/src/backend_fleet.rs
+++ b/crates/cactusbarrow_policy/src/backend_fleet.rs
@@ -435,7 +435,7 @@
         let recheck_delay = match cause {
             LossCause::Refused | LossCause::Terminated => self.cfg.refused_recheck_delay,
             LossCause::Unreachable => self.cfg.unreachable_recheck_delay,
-            LossCause::Silent => self.cfg.silent_recheck_delay,
+            LossCause::Silent | LossCause::Restarted => self.cfg.silent_recheck_delay,
             LossCause::Contested => Duration::ZERO,
             // It is not checked at this address again: only a new entry states its current one.
             LossCause::Replaced => Duration::from_secs(3_600),
--- a/crates/cactusbarrow_policy/src/outcome.rs
+++ b/crates/cactusbarrow_policy/src/outcome.rs
@@ -142,6 +142,8 @@
     NotExecuted = "not_executed",
     /// Another instance responds at the backend server's address.
     OtherInstance = "other_instance",
+    /// The backend server has started again, and its entry does not tell yet.
+    OtherIncarnation = "other_incarnation",
     /// The response was truncated or belongs to another request.
     BrokenResponse = "broken_answer",
     /// The backend server does not respond to probes.
--- a/crates/cactusbarrow_policy/src/resume_plan.rs
+++ b/crates/cactusbarrow_policy/src/resume_plan.rs
@@ -18,6 +18,9 @@
     NotConnected,
     /// Connecting took too long, so nothing was sent; the engine may be sound and go on.
     Unreached,
+    /// Another incarnation of the engine responds than was chosen, so nothing was sent; its entry may
+    /// arrive soon.
+    Restarted,
     /// The engine states that it did not run the request.
     NotExecuted,
     /// The engine responded with a status that any other engine would return, too, unless one has
@@ -42,6 +45,7 @@
     pub fn reason(self) -> Reason {
         match self {
             Self::NotConnected | Self::Unreached => Reason::NotConnected,
+            Self::Restarted => Reason::OtherIncarnation,
             Self::NotExecuted => Reason::NotExecuted,
             Self::Rejected | Self::Failed => Reason::BackendError,
             Self::Broken | Self::Unconfirmed => Reason::BrokenResponse,
@@ -63,7 +67,7 @@
 
     /// Returns whether the request reached the engine, which counts against the retry budget.
     pub fn has_arrived(self) -> bool {
-        !matches!(self, Self::NotConnected | Self::Unreached)
+        !matches!(self, Self::NotConnected | Self::Unreached | Self::Restarted)
     }
 
     /// Returns whether the engine has not run the request.
@@ -130,7 +134,7 @@
     excluded: Vec<BackendKey>,
     /// Excluded engines that were left only on a suspicion.
     suspected: Vec<BackendKey>,
-    /// Excluded engines to which connecting took too long.
+    /// Excluded engines that were not reached, or only in another incarnation.
     unreached: Vec<BackendKey>,
     /// Excluded engines that stated that they did not run the generation.
     full: Vec<BackendKey>,
@@ -284,7 +288,7 @@
     fn record_declined(&mut self, event: ResumeEvent) {
         let engine = self.excluded.last();
         match event {
-            ResumeEvent::Unreached => self.unreached.extend(engine),
+            ResumeEvent::Unreached | ResumeEvent::Restarted => self.unreached.extend(engine),
             ResumeEvent::NotExecuted => {
                 self.full.extend(engine);
                 self.declined += 1;
--- a/crates/cactusbarrow_policy/tests/backend_fleet.rs
+++ b/crates/cactusbarrow_policy/tests/backend_fleet.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::{Duration, Instant};
 
@@ -649,3 +649,41 @@
     let v1 = SoftwareVersion("v1".into()).id();
     assert!(!fleet.has_software(SERVICE, v1, now));
 }
+
+/// Guards against streams at an engine that has started again at another version, which its entry does not tell yet.
+#[test]
+fn entry_describes_only_the_incarnation_that_it_states() {
+    let entry = entry(0, 1);
+    assert!(entry.may_be_of(Some(entry.incarnation)));
+    assert!(!entry.may_be_of(Some(entry.incarnation + 1)));
+    assert!(entry.may_be_of(None), "the process states none");
+    let unstated = BackendEntry {
+        incarnation: 0,
+        ..entry
+    };
+    assert!(unstated.may_be_of(Some(7)), "the entry states none");
+}
+
+#[test]
+fn restarted_engine_is_avoided_only_until_its_entry_arrives() {
+    let now = Instant::now();
+    let mut fleet = fleet(2, 1, now);
+    let restarted = fleet.key_of("i-0").expect("listed");
+    fleet.record_loss(restarted, LossCause::Restarted, now);
+    for seed in 0..50 {
+        let key = choose(&fleet, now, &mut rng(seed)).expect("one engine is left");
+        assert_eq!(instance(&fleet, key), "i-1");
+    }
+    assert!(
+        !fleet.is_gone(restarted, now),
+        "a report ends no running work"
+    );
+    let next = BackendEntry {
+        incarnation: 2,
+        ..entry(0, 1)
+    };
+    fleet.record_entry(next, now);
+    let chosen = (0..50).filter_map(|seed| choose(&fleet, now, &mut rng(seed)));
+    let chosen: HashSet<String> = chosen.map(|key| instance(&fleet, key)).collect();
+    assert!(chosen.contains("i-0"), "its entry has arrived");
+}
--- a/crates/cactusbarrow_policy/tests/resume_plan.rs
+++ b/crates/cactusbarrow_policy/tests/resume_plan.rs
@@ -57,21 +57,24 @@
     }
 }
 
-/// Load pattern: all engines of a zone pause while a generation moves; nothing was sent to them.
+/// Load pattern: all engines of a zone pause, or start again in place, while a generation moves; nothing was
+/// sent to them.
 #[test]
-fn connects_that_take_too_long_are_not_counted_as_declined() {
-    let keys = keys(10);
-    let mut plan = ResumePlan::new(true, 5);
-    for key in &keys {
-        plan.record_start(*key, None);
-        let action = plan.decide(ResumeEvent::Unreached, false, true);
-        assert!(matches!(action, ResumeAction::Start(_)));
+fn engines_that_are_not_reached_are_not_counted_as_declined() {
+    for event in [ResumeEvent::Unreached, ResumeEvent::Restarted] {
+        let keys = keys(10);
+        let mut plan = ResumePlan::new(true, 5);
+        for key in &keys {
+            plan.record_start(*key, None);
+            let action = plan.decide(event, false, true);
+            assert!(matches!(action, ResumeAction::Start(_)));
+        }
+        assert_eq!(plan.outcome(), Outcome::NotRun);
+        let action = plan.decide_without_engine(Reason::NoBackend);
+        assert!(matches!(action, ResumeAction::Wait { .. }));
+        plan.readmit_after_wait();
+        assert!(plan.excluded().is_empty());
     }
-    assert_eq!(plan.outcome(), Outcome::NotRun);
-    let action = plan.decide_without_engine(Reason::NoBackend);
-    assert!(matches!(action, ResumeAction::Wait { .. }));
-    plan.readmit_after_wait();
-    assert!(plan.excluded().is_empty());
 }
 
 /// Guards against aborting a response that has begun because engines are full or the retry budget is
--- a/examples/soak/environment.rs
+++ b/examples/soak/environment.rs
@@ -6,8 +6,7 @@
 
 use anyhow::Context;
 use cactusbarrow_adapter_standins::{
-    BackendStandin, DeadlyRequest, EnginePace, Rejection, Run, StoreCopy, StoreStandin,
-    config_json, entry_json_with_software,
+    BackendStandin, DeadlyRequest, EnginePace, Rejection, Run, StoreCopy, StoreStandin, config_json,
 };
 use serde_json::{Value, json};
 
@@ -239,9 +238,8 @@
 
     fn write_entry(&self, backend: &ProxiedBackend, state: &str) {
         let key = format!("servers/{}", backend.standin.instance());
-        let software = backend.standin.software();
-        let addr = backend.proxy.addr();
-        let entry = entry_json_with_software(backend.service, addr, backend.zone, state, software);
+        let (addr, standin) = (backend.proxy.addr(), &backend.standin);
+        let entry = standin.entry_json_at(addr, backend.service, backend.zone, state);
         self.write(&key, Some(entry));
     }
 
