Take a page of origins that cannot be decoded as an item for damaged

A stream that a caller resumed at a gateway which had just started went on at another version, if another writer had left an item under the key of the only page that named the stream's version whose value is no base64.

Items that cannot be decoded were skipped, so the page counted as absent, and the pages of the others for complete.

--- a/crates/cactusbarrow_gateway/src/origin_store.rs
+++ b/crates/cactusbarrow_gateway/src/origin_store.rs
@@ -86,7 +86,9 @@
                 record_origins(shared, page);
             }
             let served = pages.iter().map(Option::as_ref);
-            let served: Vec<_> = served.map(|page| served_page(shared, page?)).collect();
+            let mut served: Vec<_> = served.map(|page| served_page(shared, page?)).collect();
+            let damaged = snapshot.damaged_keys.iter().filter(|key| is_page_key(key));
+            served.extend(damaged.map(|_| None));
             let retention = OriginConfig::default().retention;
             let era = snapshot.position.era;
             Some(ServedVersions::collect(&served, era, retention))
@@ -174,6 +176,7 @@
     let mut failures = 0;
     let Snapshot {
         mut items,
+        damaged_keys,
         position,
     } = loop {
         metrics::counter!("gateway_store_calls_total").increment(1);
@@ -193,6 +196,9 @@
         .iter()
         .filter_map(|item| Some((slot_of(item)?, origins_of(&decode_page(item)?).collect())));
     shared.origin_pages().load(stored.collect(), shared.now());
+    if damaged_keys.iter().any(|key| is_page_key(key)) {
+        shared.versions().record_unknown(shared.now());
+    }
     for item in &items {
         match decode_page(item) {
             Some(page) => {
--- a/crates/cactusbarrow_gateway/tests/versions_joining.rs
+++ b/crates/cactusbarrow_gateway/tests/versions_joining.rs
@@ -209,6 +209,24 @@
     }
 }
 
+/// Load pattern: another writer leaves an item in place of the page that cannot be decoded.
+#[tokio::test]
+async fn page_whose_item_cannot_be_decoded_proves_nothing() {
+    for rest in [
+        r#""value":"not base64","revision":1"#,
+        r#""value":7,"revision":1"#,
+        r#""value":"","revision":-1"#,
+        r#""value":"","revision":18446744073709551615"#,
+    ] {
+        let replace = |cluster: &TestCluster| {
+            cluster.store.delete("streams/127.0.0.1/0");
+            let item = format!(r#"{{"key":"streams/127.0.0.1/0",{rest}}}"#);
+            cluster.store.add_raw_item(item.as_bytes());
+        };
+        assert_not_mixed_by_next(async |_| {}, replace).await;
+    }
+}
+
 /// Ends the only engine and starts it again in place, at `v2`.
 async fn start_again(cluster: &mut TestCluster) {
     let engine = cluster.engines.remove(0);
