Let a peer's last word on its page replace its earlier ones

A gateway began streams at a version because a peer had once said that its page names it, up to 30 minutes after the page had ceased to, and without limit if no peer sent anything any more, since words expired only when another one came.

Each peer's last word now counts, for 30 minutes. A peer that names nothing has just started, and its earlier page is still in the store.

Evidence: word_of_a_peer_counts_until_its_next_one and word_of_a_peer_that_has_fallen_silent_expires_before_its_page failed on the state machine before (without the arguments that it lacked). No test of whole gateways shows a mixed stream from this.

--- a/crates/cactusbarrow_gateway/src/generation/stream/target.rs
+++ b/crates/cactusbarrow_gateway/src/generation/stream/target.rs
@@ -150,8 +150,9 @@
         }
         let mut software = fleet.software_versions(&self.req.service);
         let service = ServiceId::from_name(&self.req.service);
+        let now = self.req.shared.now();
         let versions = self.req.shared.versions();
-        software.retain(|software| !versions.is_stored(service, *software));
+        software.retain(|software| !versions.is_stored(service, *software, now));
         software
     }
 
--- a/crates/cactusbarrow_gateway/src/peers.rs
+++ b/crates/cactusbarrow_gateway/src/peers.rs
@@ -247,7 +247,7 @@
         .unstored_origins()
         .record_stored(from, wire.incarnation, wire.origins_stored_before);
     let stored = wire.stored_versions.iter().copied();
-    shared.record_peer_stored(stored.map(origin_store::version_from_wire));
+    shared.record_peer_stored(from, stored.map(origin_store::version_from_wire));
     for (service, count) in begun {
         shared.quarantine().count_begun(service, count, now);
     }
--- a/crates/cactusbarrow_gateway/src/shared.rs
+++ b/crates/cactusbarrow_gateway/src/shared.rs
@@ -385,10 +385,14 @@
         self.stored_versions.send_modify(|count| *count += 1);
     }
 
-    /// Records versions that the store holds as served by another gateway.
-    pub(crate) fn record_peer_stored(&self, served: impl Iterator<Item = ServedVersion>) {
+    /// Records a peer's word on the versions that the store holds as served by it.
+    pub(crate) fn record_peer_stored(
+        &self,
+        peer: Ipv4Addr,
+        served: impl Iterator<Item = ServedVersion>,
+    ) {
         let now = self.now();
-        if self.versions().record_peer_stored(served, now) {
+        if self.versions().record_peer_stored(peer, served, now) {
             self.stored_versions.send_modify(|count| *count += 1);
         }
     }
--- a/crates/cactusbarrow_policy/src/version_history.rs
+++ b/crates/cactusbarrow_policy/src/version_history.rs
@@ -5,6 +5,7 @@
 //! without a gap does.
 
 use std::collections::{HashMap, HashSet};
+use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
 
 use crate::served_versions::ServedVersion;
@@ -18,6 +19,19 @@
 /// Maximum number of versions that are taken from one heartbeat.
 const MAX_PEER_VERSIONS: usize = 16;
 
+/// A peer's word on the versions that the store holds as served by it.
+#[derive(Clone, Debug)]
+struct PeerRecord {
+    served: Vec<ServedVersion>,
+    at: Instant,
+}
+
+impl PeerRecord {
+    fn counts(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.at) < PEER_RECORD_EXPIRY
+    }
+}
+
 /// Versions that one gateway has seen in the list of backend servers, and since when it has followed the list.
 #[derive(Clone, Debug)]
 pub struct VersionHistory {
@@ -26,8 +40,8 @@
     versions: HashMap<ServedVersion, Instant>,
     /// Versions that the store holds as served by this gateway.
     stored: HashSet<ServedVersion>,
-    /// Versions that the store holds as served by others, with the time at which they said so.
-    peers_stored: HashMap<ServedVersion, Instant>,
+    /// The last word of each peer on the versions that the store holds.
+    peers_stored: HashMap<Ipv4Addr, PeerRecord>,
     /// Since when each change of the list was seen.
     followed_since: Option<Instant>,
     /// Era of the store, and since when it is known.
@@ -74,19 +88,27 @@
         self.stored = served.collect();
     }
 
-    /// Records that the store holds versions as served by another gateway; returns whether one of them is new.
+    /// Records a peer's word on the versions that the store holds as served by it, in place of its last one; returns
+    /// whether a version is new.
+    ///
+    /// A peer that names none has written no page since it started, so its earlier page is still there.
     pub fn record_peer_stored(
         &mut self,
+        peer: Ipv4Addr,
         served: impl Iterator<Item = ServedVersion>,
         now: Instant,
     ) -> bool {
-        self.peers_stored
-            .retain(|_, at| now.saturating_duration_since(*at) < PEER_RECORD_EXPIRY);
-        let mut is_new = false;
-        for version in served.take(MAX_PEER_VERSIONS) {
-            is_new |= self.peers_stored.insert(version, now).is_none();
+        self.peers_stored.retain(|_, record| record.counts(now));
+        let served: Vec<ServedVersion> = served.take(MAX_PEER_VERSIONS).collect();
+        if served.is_empty() {
+            return false;
         }
-        is_new
+        let is_new =
+            |(service, software): &ServedVersion| !self.is_stored(*service, *software, now);
+        let has_new = served.iter().any(is_new);
+        self.peers_stored
+            .insert(peer, PeerRecord { served, at: now });
+        has_new
     }
 
     /// Returns the versions that the store holds as served by this gateway.
@@ -100,9 +122,11 @@
     }
 
     /// Returns whether the store holds a version as served by any gateway, so that streams may begin at it.
-    pub fn is_stored(&self, service: ServiceId, software: SoftwareId) -> bool {
+    pub fn is_stored(&self, service: ServiceId, software: SoftwareId, now: Instant) -> bool {
         let version = (service, software);
-        self.stored.contains(&version) || self.peers_stored.contains_key(&version)
+        let mut peers = self.peers_stored.values();
+        self.stored.contains(&version)
+            || peers.any(|record| record.counts(now) && record.served.contains(&version))
     }
 
     /// Records that the list was read whole, so that changes before may have been missed.
--- a/crates/cactusbarrow_policy/tests/version_history.rs
+++ b/crates/cactusbarrow_policy/tests/version_history.rs
@@ -2,9 +2,10 @@
 
 mod common;
 
+use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
 
-use cactusbarrow_policy::{OriginConfig, ServiceId, SoftwareId, VersionHistory};
+use cactusbarrow_policy::{OriginConfig, ServedVersions, ServiceId, SoftwareId, VersionHistory};
 use common::fixed_seed_config;
 use proptest::prelude::*;
 
@@ -64,6 +65,42 @@
     assert_eq!(sole(&history, &[V1], now + retention()), Some(V1));
 }
 
+const PEER: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 1);
+const OTHER_PEER: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 2);
+
+/// Guards against streams that begin at a version which the page of the peer that named it has ceased to name.
+#[test]
+fn word_of_a_peer_counts_until_its_next_one() {
+    let now = Instant::now();
+    let mut history = VersionHistory::new(retention());
+    let both = [(SERVICE, V1), (SERVICE, V2)];
+    assert!(history.record_peer_stored(PEER, both.into_iter(), now));
+    assert!(history.is_stored(SERVICE, V2, now));
+    assert!(!history.record_peer_stored(OTHER_PEER, [(SERVICE, V1)].into_iter(), now));
+    assert!(
+        history.is_stored(SERVICE, V2, now),
+        "another page is left as it is"
+    );
+    assert!(!history.record_peer_stored(PEER, [].into_iter(), now));
+    assert!(
+        history.is_stored(SERVICE, V2, now),
+        "it has just started again"
+    );
+    history.record_peer_stored(PEER, [(SERVICE, V1)].into_iter(), now);
+    assert!(!history.is_stored(SERVICE, V2, now));
+    assert!(history.is_stored(SERVICE, V1, now));
+}
+
+/// Guards against a word that counts without end at a gateway that hears from no peer any more.
+#[test]
+fn word_of_a_peer_that_has_fallen_silent_expires_before_its_page() {
+    let now = Instant::now();
+    let mut history = VersionHistory::new(retention());
+    history.record_peer_stored(PEER, [(SERVICE, V1)].into_iter(), now);
+    assert!(history.is_stored(SERVICE, V1, now + retention()));
+    assert!(!history.is_stored(SERVICE, V1, now + ServedVersions::PAGE_EXPIRY));
+}
+
 /// A step in which the list changes, or a gateway learns of it.
 #[derive(Clone, Copy, Debug)]
 enum Step {
