Reserve ports and networks of tests for the life of their process

Tests, the soak and the experiments failed now and then with "Address already in use" when something else ran on the machine. They probed for a free port and let it go; the range reached into the ports that the operating system gives to clients; processes shared blocks, as these were derived from the process id; only the first address was probed, though the gateways of one test listen at several; and some tests had fixed ports and addresses, or took a port of the operating system and released it for a process that they started.

A listener on an address where nothing else listens now stands for each block of ports and each loopback network; the operating system releases it with the process. Blocks end below the ports of clients and are free on all addresses of a test, over TCP and UDP. The soak had such a reservation of its own for its network; it uses the common one now.

Files of the processes' test carry the number of the network, as two runs in one tree wrote the same ones.

--- a/crates/cactusbarrow_gateway/tests/common/mod.rs
+++ b/crates/cactusbarrow_gateway/tests/common/mod.rs
@@ -5,15 +5,14 @@
 pub(crate) mod offset_clock;
 pub(crate) mod streams;
 
-use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicU16, Ordering};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 use bytes::Bytes;
 use cactusbarrow_adapter::parse_settings;
 use cactusbarrow_adapter_standins::{
     BackendStandin, CallerHead, DEFAULT_SOFTWARE, StoreStandin, config_json,
-    entry_json_with_software, settings_yaml,
+    entry_json_with_software, reserve_ports, settings_yaml,
 };
 use cactusbarrow_gateway::{GatewayHandle, start};
 use cactusbarrow_net::{Body, Clock, HttpClient, HttpVersion, SystemClock};
@@ -31,18 +30,14 @@
 /// Time-out of [`eventually`].
 pub(crate) const EVENTUALLY_TIMEOUT: Duration = Duration::from_secs(10);
 
-static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+/// Number of consecutive addresses that gateways of one test may use.
+const MAX_GATEWAYS: u32 = 9;
 
-/// Finds four ports in a row that are free on an address.
+/// Reserves ports that are free on an address and on those of further gateways, which follow it.
 pub(crate) fn free_ports(ip: &str) -> u16 {
-    loop {
-        let step = NEXT_PORT.fetch_add(4, Ordering::Relaxed);
-        let base = 21_000 + (std::process::id() as u16 % 500) * 20 + step % 20_000;
-        let is_free = |port| TcpListener::bind((ip, port)).is_ok();
-        if (base..base + 4).all(is_free) {
-            return base;
-        }
-    }
+    let first: Ipv4Addr = ip.parse().expect("an IPv4 address");
+    let addrs = (0..MAX_GATEWAYS).map(|i| Ipv4Addr::from(first.to_bits() + i));
+    reserve_ports(&addrs.collect::<Vec<_>>())
 }
 
 /// The store and the backend servers that the gateways under test use.
--- a/crates/cactusbarrow_gateway/tests/streams_ended_by_errors.rs
+++ b/crates/cactusbarrow_gateway/tests/streams_ended_by_errors.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use cactusbarrow_adapter_standins::{CallerHead, DEFAULT_SOFTWARE, entry_json_with_software};
 use cactusbarrow_net::Body;
-use common::{Gateway, TestCluster, caller_head, eventually, free_ports, zone};
+use common::{Gateway, TestCluster, caller_head, eventually, zone};
 use http_body_util::BodyExt;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -294,11 +294,7 @@
                 }
             });
         }
-        // An address of this process alone, since each case listens on ports of its own.
-        let [_, high, middle, low] = std::process::id().to_be_bytes();
-        let ip = format!("127.{}.{middle}.{low}", 64 + high);
-        let gateway = cluster.gateway(&ip, free_ports(&ip), &ip).await;
-        gateway.wait_until_ready().await;
+        let gateway = cluster.one_gateway().await;
         let listed = engines + cluster.apps.len();
         eventually("all are listed", || {
             gateway.handle.status().backends == listed
--- a/examples/experiment/backup.rs
+++ b/examples/experiment/backup.rs
@@ -8,7 +8,7 @@
 use cactusbarrow_adapter::parse_settings;
 use cactusbarrow_adapter_standins::{
     CallerHead, EngineEmulator, EngineFleet, EngineModel, StoreStandin, config_json, entry_json,
-    event_count, settings_yaml,
+    event_count, reserved_network, settings_yaml,
 };
 use cactusbarrow_gateway::{GatewayHandle, start};
 use cactusbarrow_net::{Body, EventSplitter, HttpClient, HttpVersion, SystemClock};
@@ -170,8 +170,7 @@
 
 /// Returns the address of a gateway; concurrent runs use different loopback networks.
 fn ip(gateway: usize) -> String {
-    let network = 1 + std::process::id() % 250;
-    format!("127.{network}.3.{}", gateway + 1)
+    format!("127.{}.3.{}", reserved_network(), gateway + 1)
 }
 
 async fn measure(has_copies: bool, seed: u64, is_short: bool) -> Figures {
--- a/examples/soak/main.rs
+++ b/examples/soak/main.rs
@@ -17,13 +17,14 @@
 mod scenario_checks;
 mod scenarios;
 
-use std::net::TcpListener;
+use std::net::Ipv4Addr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
 
 use anyhow::Context;
+use cactusbarrow_adapter_standins::reserve_ports;
 use rustix::process::Signal;
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
@@ -54,9 +55,6 @@
 /// Grace period of gateways whose stops are tested, as in production.
 const LONG_GRACE: Duration = Duration::from_secs(8);
 
-/// Lowest port that gateways may use.
-const FIRST_PORT: u16 = 23_000;
-
 /// Largest number of injectors in one run.
 const MAX_INJECTORS: u64 = 6;
 
@@ -172,10 +170,11 @@
         Some(program) => program.clone(),
         None => process::find_daemon(&current_exe)?,
     };
+    let gateway_ips: Vec<Ipv4Addr> = (0..plan.gateways).map(process::gateway_ip).collect();
     let launch = LaunchConfig {
         program,
         dir: dir.clone(),
-        base_port: free_ports(plan.gateways),
+        base_port: reserve_ports(&gateway_ips),
         grace: plan.grace(),
     };
     let environment = Arc::new(
@@ -276,14 +275,3 @@
     std::fs::write(dir.join("faults.txt"), faults.join("\n")).context("write the faults")?;
     Ok(false)
 }
-
-/// Returns the first of consecutive ports that are free on the addresses of all gateways.
-fn free_ports(gateways: usize) -> u16 {
-    let is_free = |port: u16| {
-        (0..gateways).all(|i| TcpListener::bind((process::gateway_ip(i).as_str(), port)).is_ok())
-    };
-    (FIRST_PORT..)
-        .step_by(20)
-        .find(|base| (*base..base + 4).all(is_free))
-        .unwrap_or(FIRST_PORT)
-}
--- a/examples/soak/process.rs
+++ b/examples/soak/process.rs
@@ -1,14 +1,13 @@
 //! Gateways that run as processes.
 
 use std::fs::File;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::OnceLock;
 use std::time::Duration;
 
 use anyhow::Context;
-use cactusbarrow_adapter_standins::settings_yaml_with_grace;
+use cactusbarrow_adapter_standins::{reserved_network, settings_yaml_with_grace};
 use rustix::process::{Pid, Signal, kill_process};
 
 /// How gateways are started: on one loopback address each, all with the same ports.
@@ -44,6 +43,7 @@
         store: SocketAddr,
     ) -> anyhow::Result<Self> {
         let (ip, seed) = (gateway_ip(index), gateway_ip(usize::from(index == 0)));
+        let (ip, seed) = (ip.to_string(), seed.to_string());
         let name = format!("gateway-{index}");
         let settings = launch.dir.join(format!("{name}.yaml"));
         let (port, grace) = (launch.base_port, launch.grace);
@@ -142,34 +142,10 @@
 /// Number of gateways in one /24 subnet of the loopback network.
 const GATEWAYS_PER_SUBNET: usize = 200;
 
-/// Number of loopback networks to choose from, 127.1.0.0/16 and later ones.
-const NETWORKS: u32 = 250;
-
-/// Port at which a soak reserves its network.
-const RESERVATION_PORT: u16 = 22_999;
-
-/// Network of this process, and the listener that reserves it.
-static NETWORK: OnceLock<(u32, Option<TcpListener>)> = OnceLock::new();
-
-/// Reserves a network that no concurrent soak uses, and returns its number.
-fn network() -> u32 {
-    let first = std::process::id();
-    let reserve = |i: u32| {
-        let network = 1 + (first + i) % NETWORKS;
-        let listener = TcpListener::bind((format!("127.{network}.0.1"), RESERVATION_PORT));
-        Some((network, Some(listener.ok()?)))
-    };
-    let reserved = NETWORK.get_or_init(|| {
-        let mut reserved = (0..NETWORKS).filter_map(reserve);
-        reserved.next().unwrap_or((1 + first % NETWORKS, None))
-    });
-    reserved.0
-}
-
 /// Returns the loopback address of a gateway; concurrent soaks use different networks.
-pub(crate) fn gateway_ip(index: usize) -> String {
+pub(crate) fn gateway_ip(index: usize) -> Ipv4Addr {
     let (subnet, host) = (index / GATEWAYS_PER_SUBNET, index % GATEWAYS_PER_SUBNET);
-    format!("127.{}.{}.{}", network(), 1 + subnet, 1 + host)
+    Ipv4Addr::new(127, reserved_network(), 1 + subnet as u8, 1 + host as u8)
 }
 
 /// Returns the path of the daemon that was built beside this program.
--- a/tests/gateway_stops.rs
+++ b/tests/gateway_stops.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 use cactusbarrow_adapter_standins::{
-    BackendStandin, CallerHead, StoreStandin, config_json, entry_json, settings_yaml_with_grace,
+    BackendStandin, CallerHead, StoreStandin, config_json, entry_json, reserved_network,
+    settings_yaml_with_grace,
 };
 use cactusbarrow_net::{Body, HttpClient, HttpVersion};
 use http_body_util::BodyExt;
@@ -47,8 +48,9 @@
 }
 
 impl GatewayProcess {
-    /// Starts a gateway at an address of the loopback network that no other test uses.
-    fn start(ip: &str, store: SocketAddr, grace: Duration) -> Self {
+    /// Starts a gateway at an address of this process's loopback network; each test uses other hosts.
+    fn start(host: u8, store: SocketAddr, grace: Duration) -> Self {
+        let ip = &format!("127.{}.0.{host}", reserved_network());
         let settings = settings_yaml_with_grace("gateway", ip, BASE_PORT, ip, store, grace);
         let file = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("gateway-{ip}.yaml"));
         std::fs::write(&file, settings).expect("a file can be written");
@@ -104,7 +106,7 @@
     for host in 10..20 {
         let store = store.addr();
         rounds.spawn_blocking(move || {
-            let mut gateway = GatewayProcess::start(&format!("127.0.91.{host}"), store, GRACE);
+            let mut gateway = GatewayProcess::start(host, store, GRACE);
             gateway.wait_for_line("gateway started");
             gateway.signal(Signal::HUP);
             gateway.signal(Signal::TERM);
@@ -128,7 +130,7 @@
         .expect("start an engine");
     let entry = entry_json("llm", engine.addr(), "zona-pa", "ready");
     store.put("servers/engine", &entry);
-    let mut gateway = GatewayProcess::start("127.0.91.2", store.addr(), GRACE);
+    let mut gateway = GatewayProcess::start(2, store.addr(), GRACE);
     gateway.wait_for_line("backend server listed");
     let mut callers = JoinSet::new();
     for i in 0..STREAMS {
@@ -181,7 +183,7 @@
         .expect("start an engine");
     let entry = entry_json("llm", engine.addr(), "zona-pa", "ready");
     store.put("servers/engine", &entry);
-    let mut gateway = GatewayProcess::start("127.0.91.3", store.addr(), LONG_GRACE);
+    let mut gateway = GatewayProcess::start(3, store.addr(), LONG_GRACE);
     gateway.wait_for_line("backend server listed");
     gateway.signal(Signal::TERM);
     gateway.wait_for_line("leaving the load balancer's rotation");
@@ -210,7 +212,7 @@
         .expect("start an engine");
     let entry = entry_json("llm", engine.addr(), "zona-pa", "ready");
     store.put("servers/engine", &entry);
-    let mut gateway = GatewayProcess::start("127.0.91.4", store.addr(), GRACE);
+    let mut gateway = GatewayProcess::start(4, store.addr(), GRACE);
     gateway.wait_for_line("backend server listed");
     let socket = TcpSocket::new_v4().expect("a socket");
     socket
--- a/tests/paused_gateways.rs
+++ b/tests/paused_gateways.rs
@@ -10,7 +10,7 @@
 use std::process::{Child, Command};
 use std::time::Duration;
 
-use cactusbarrow_adapter_standins::{CallerHead, settings_yaml};
+use cactusbarrow_adapter_standins::{CallerHead, reserved_network, settings_yaml};
 use cactusbarrow_net::{Body, HttpClient, HttpVersion};
 use common::streams::{begin_stream, writers};
 use common::{
@@ -89,7 +89,7 @@
 
 /// Returns an address of a loopback network of this process; the port for metrics is the same for all gateways.
 fn gateway_ip(case: u64, host: u8) -> &'static str {
-    let network = 1 + std::process::id() % 250;
+    let network = reserved_network();
     format!("127.{network}.{case}.{host}").leak()
 }
 
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -1,11 +1,12 @@
 //! End-to-end test with the client, a router and agents as separate processes, and stand-ins for the
 //! store and the engines.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output};
 use std::time::Duration;
 
+use cactusbarrow_adapter_standins::{reserve_ports, reserved_network};
 use cactusbarrow_document::hash_api_key;
 use cactusbarrow_standins::{
     Caller, Cluster, ConsulServer, Engine, EngineConfig, Ledger, StreamEnd, Transcript,
@@ -49,12 +50,15 @@
     }
 }
 
-fn free_addr() -> SocketAddr {
-    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
-    listener.local_addr().expect("a bound listener")
+/// Returns the addresses at which a process accepts callers, control connections and the operators' requests.
+fn reserve_addrs() -> [SocketAddr; 3] {
+    let base = reserve_ports(&[Ipv4Addr::LOCALHOST]);
+    [base, base + 1, base + 2].map(|port| (Ipv4Addr::LOCALHOST, port).into())
 }
 
+/// Writes a file that concurrent processes of this test do not share.
 fn write_file(name: &str, text: &str) -> PathBuf {
+    let name = format!("{}-{name}", reserved_network());
     let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
     std::fs::write(&path, text).expect("a file can be written");
     path
@@ -76,7 +80,7 @@
 }
 
 fn start_agent(name: &str, backend: SocketAddr) -> Agent {
-    let (listen, control, admin) = (free_addr(), free_addr(), free_addr());
+    let [listen, control, admin] = reserve_addrs();
     let settings = format!(
         "name: {name}\nlisten: {listen}\ncontrol: {control}\nadmin: {admin}\n\
          backend: {backend}\nkind: engine\nlog_level: warn\n"
@@ -136,7 +140,7 @@
     let engine_two = Engine::start(EngineConfig::new(VERSION), ledger.clone(), 2).await;
     let agent_one = start_agent("engine-1", engine_one.addr);
     let mut agent_two = start_agent("engine-2", engine_two.addr);
-    let (listen, control, admin) = (free_addr(), free_addr(), free_addr());
+    let [listen, control, admin] = reserve_addrs();
     let settings = format!(
         "name: router-1\nzone: zone-a\nlisten: {listen}\ncontrol: {control}\nadmin: {admin}\n\
          store: {}\nlog_level: warn\n",
