Begin the test's store outage after the gateway has stored its version

The response was not_run: unstored_version, in both modes of the outage: it began as soon as the gateway knew configuration and servers, which may be before the page that names the served version was stored. No stream begins at a version before that, so the refusal is right and the test's start was left to chance. It now serves a stream before the outage, and says why a request is refused.

--- a/crates/cactusbarrow_gateway/tests/fleet.rs
+++ b/crates/cactusbarrow_gateway/tests/fleet.rs
@@ -55,12 +55,17 @@
     for mode in [StoreMode::Busy, StoreMode::Silent] {
         let cluster = TestCluster::start(2).await;
         let gateway = cluster.one_gateway().await;
+        // No stream begins at a version before the store has the page that names it.
+        let response = gateway
+            .call(&caller_head("before", "/stream/1"), "POST")
+            .await;
+        assert_eq!(response.status(), 200, "{mode:?}: {:?}", response.body);
         cluster.store.set_mode(mode);
         tokio::time::sleep(Duration::from_millis(300)).await;
         let response = gateway
             .call(&caller_head("away", "/stream/1"), "POST")
             .await;
-        assert_eq!(response.status(), 200);
+        assert_eq!(response.status(), 200, "{mode:?}: {:?}", response.body);
         cluster.store.set_mode(StoreMode::Serving);
         cluster.store.put("op/config", &config_json(11, &[KEY]));
         eventually("the new version is adopted", || {
