Tell what the log has of a stream that its test misses

Not traced; the exit waits 150 ms for the log to be written, and that this is too short beside load is only suspected.

--- a/tests/gateway_stops.rs
+++ b/tests/gateway_stops.rs
@@ -167,7 +167,12 @@
     let cut: Vec<&str> = cut.collect();
     for i in 0..STREAMS {
         let id = format!("\"cut-{i}-\"");
-        assert!(cut.iter().any(|line| line.contains(&id)), "{id} is missing");
+        let lines: Vec<&str> = log.lines().filter(|line| line.contains(&id)).collect();
+        assert!(
+            cut.iter().any(|line| line.contains(&id)),
+            "{id} is missing; {} of {STREAMS} are named; {lines:?}",
+            cut.len()
+        );
     }
     assert!(!log.contains("caller_gone"), "callers did not leave");
     let last = log.lines().rfind(|line| line.contains("gateway stopped"));
