--- a/crates/cactusbarrow_gateway/tests/odd_entries.rs
+++ b/crates/cactusbarrow_gateway/tests/odd_entries.rs
@@ -8,6 +8,7 @@
 use cactusbarrow_adapter_standins::entry_json;
 use common::{EVENTS, Gateway, TestCluster, caller_head, edited_config, eventually};
 use serde_json::{Value, json};
+use tokio::task::JoinSet;
 
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -195,32 +196,38 @@
 
 #[tokio::test]
 async fn odd_value_over_a_sound_engines_entry_ends_no_stream() {
-    for odd in odd_entries() {
-        let cluster = TestCluster::start_with_interval(1, EVENT_INTERVAL).await;
-        let gateway = cluster.one_gateway().await;
-        let head = caller_head("running", "/stream/1");
-        let overwrite = async {
-            eventually("the stream runs", || cluster.run_count("running") == 1).await;
-            tokio::time::sleep(EVENT_INTERVAL * 4).await;
-            cluster.store.put("servers/engine-0", &odd);
-        };
-        let (response, ()) = tokio::join!(gateway.call(&head, "POST"), overwrite);
-        assert_eq!(
-            response.event_ids(),
-            (1..=EVENTS).collect::<Vec<_>>(),
-            "{odd:.80}"
-        );
-        assert_eq!(cluster.run_count("running"), 1, "{odd:.80}");
-        cluster.put_entry(&cluster.engines[0], "llm", "zona-pa", "ready");
-        eventually("the engine is used again", || {
-            gateway.handle.status().backends == 3
-        })
+    let cases: JoinSet<()> = odd_entries()
+        .into_iter()
+        .map(assert_ends_no_stream)
+        .collect();
+    cases.join_all().await;
+}
+
+async fn assert_ends_no_stream(odd: String) {
+    let cluster = TestCluster::start_with_interval(1, EVENT_INTERVAL).await;
+    let gateway = cluster.one_gateway().await;
+    let head = caller_head("running", "/stream/1");
+    let overwrite = async {
+        eventually("the stream runs", || cluster.run_count("running") == 1).await;
+        tokio::time::sleep(EVENT_INTERVAL * 4).await;
+        cluster.store.put("servers/engine-0", &odd);
+    };
+    let (response, ()) = tokio::join!(gateway.call(&head, "POST"), overwrite);
+    assert_eq!(
+        response.event_ids(),
+        (1..=EVENTS).collect::<Vec<_>>(),
+        "{odd:.80}"
+    );
+    assert_eq!(cluster.run_count("running"), 1, "{odd:.80}");
+    cluster.put_entry(&cluster.engines[0], "llm", "zona-pa", "ready");
+    eventually("the engine is used again", || {
+        gateway.handle.status().backends == 3
+    })
+    .await;
+    let response = gateway
+        .call(&caller_head("next", "/stream/1"), "POST")
         .await;
-        let response = gateway
-            .call(&caller_head("next", "/stream/1"), "POST")
-            .await;
-        assert_eq!(response.status(), 200, "{odd:.80}");
-    }
+    assert_eq!(response.status(), 200, "{odd:.80}");
 }
 
 /// Guards against a configuration whose numbers end the handling of requests; the current one stays, or the new
