--- a/tests/gateway_stops.rs
+++ b/tests/gateway_stops.rs
@@ -265,7 +265,7 @@
     engine.set_pace(pace(1.0));
     let entry = entry_json("llm", engine.addr(), "zona-pa", "ready");
     store.put("servers/engine", &entry);
-    let mut gateway = GatewayProcess::start("127.0.91.5", store.addr(), LONG_GRACE);
+    let mut gateway = GatewayProcess::start(5, store.addr(), LONG_GRACE);
     gateway.wait_for_line("backend server listed");
     let http = HttpClient::new(HttpVersion::Http1);
     let send = async |id: &str| {
