Forward no outcome that a service states as that of its agent

A router takes the headers that name outcome and reason for its agent's own. A plain service that sets them itself, such as one that is a router of its own, made the router believe that an unrepeatable call was not run, and send it to the next server.

--- a/crates/cactusbarrow_agent/src/calls.rs
+++ b/crates/cactusbarrow_agent/src/calls.rs
@@ -7,7 +7,8 @@
 use cactusbarrow_net::{Body, BodyFraming, Clock, NetError, RequestBody, collect_limited};
 use cactusbarrow_policy::{ClaimNonce, KeyHash, Outcome, Reason, Work};
 use cactusbarrow_protocol::{
-    ANSWER_PATH, CALL_PATH, CLAIM_NONCE_HEADER, KEY_HASH_HEADER, UNFRAMED_HEADER,
+    ANSWER_PATH, CALL_PATH, CLAIM_NONCE_HEADER, KEY_HASH_HEADER, OUTCOME_HEADER, REASON_HEADER,
+    UNFRAMED_HEADER,
 };
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header, response};
@@ -205,13 +206,16 @@
     let framing = BodyFraming::of_response(&method, &head)
         .map_err(|e| NetError::new(CALL_STEP, agent.cfg.backend, e))?;
     remove_hop_by_hop_headers(&mut head.headers);
+    // Routers take these for the agent's own statements.
+    for name in [OUTCOME_HEADER, REASON_HEADER, UNFRAMED_HEADER] {
+        head.headers.remove(name);
+    }
     set_framing(&mut head, framing);
     Ok(Response::from_parts(head, body))
 }
 
 /// Tells the router whether the service stated the end of the body, since each response of the agent does.
 fn set_framing(head: &mut response::Parts, framing: BodyFraming) {
-    head.headers.remove(UNFRAMED_HEADER);
     if framing == BodyFraming::ConnectionEnd {
         let is_unframed = HeaderValue::from_static("1");
         head.headers.insert(UNFRAMED_HEADER, is_unframed);
--- a/tests/cut_responses.rs
+++ b/tests/cut_responses.rs
@@ -320,6 +320,28 @@
     assert!((0..count).all(|case| backend.runs_of(case) == 1));
 }
 
+/// Guards against services that a router takes for their agent, which states what was not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn service_does_not_speak_for_its_agent() {
+    const OUTCOMES: [&str; 3] = ["not_run", "unknown", "failed"];
+    let (cluster, backend) = start(0, 2, |case, _| {
+        let outcome = OUTCOMES[case];
+        let head = format!(
+            "HTTP/1.1 503 Service Unavailable\r\ncactusbarrow-outcome: {outcome}\r\n\
+             cactusbarrow-reason: draining\r\ncontent-length: 4\r\n\r\ndone"
+        );
+        (head.into_bytes(), ConnectionEnd::Close)
+    })
+    .await;
+    let router = router(&cluster);
+    for (case, outcome) in OUTCOMES.into_iter().enumerate() {
+        let res = call(router, Method::POST, case).await.expect("a response");
+        assert_eq!(backend.runs_of(case), 1, "{outcome}");
+        assert_eq!((res.status().as_u16(), &**res.body()), (503, &b"done"[..]));
+        assert!(!res.headers().contains_key("cactusbarrow-outcome"));
+    }
+}
+
 /// A stream of HTTP/2 has no end that is not stated, so that only a broken one is left.
 #[tokio::test(flavor = "multi_thread")]
 async fn caller_with_http2_gets_no_end_that_its_service_did_not_state() {
