Wait longer for the log at the exit, and name streams that end with the process as cut

Operators could miss lines about streams that the exit of a gateway cuts: the test of these lines failed once in 62 runs beside load, and its message did not tell which were missing. Two causes are read, neither shown by a run. The exit waited at most 150 ms for the thread that writes the log; nothing else is left to do then, so it may wait 1 s. And where several threads serve, a connection may be dropped while the task of its stream still runs, which took that for the caller's leaving; once the exit has begun it is a cut.

--- a/crates/cactusbarrow_daemon/src/gateway.rs
+++ b/crates/cactusbarrow_daemon/src/gateway.rs
@@ -13,8 +13,9 @@
 use crate::logs;
 use crate::signals::Signals;
 
-/// Longest time for which the exit waits until the log has been written; it ends before the grace period does.
-const LOG_FLUSH_TIMEOUT: Duration = Duration::from_millis(150);
+/// Longest time for which the exit waits until the log has been written: nothing else is left to do then, and the
+/// platform kills a process that takes longer than its grace period.
+const LOG_FLUSH_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// Reads the settings from `file`, or else from the file that the environment variable
 /// [`SETTINGS_VARIABLE`] names.
--- a/crates/cactusbarrow_gateway/src/generation/stream.rs
+++ b/crates/cactusbarrow_gateway/src/generation/stream.rs
@@ -191,9 +191,9 @@
         self.is_concluded = true;
     }
 
-    /// Records that the caller has disconnected.
+    /// Records that the caller has disconnected, unless the process exits, which ends its connections in any order.
     pub(crate) fn mark_caller_gone(&mut self) {
-        self.is_caller_gone = true;
+        self.is_caller_gone = !self.req.shared.exit().is_cancelled();
     }
 
     /// Records the pace of a complete generation.
