Pass on what a body holds before it fails

The event by which a router reports why it gives up a stream did not reach its caller since such a stream is broken off: the server discards what it has not written when a body fails, and event and failure came at once.

A body now waits once before its failure, so that the server writes what it has.

--- a/crates/cactusbarrow_net/src/body.rs
+++ b/crates/cactusbarrow_net/src/body.rs
@@ -3,7 +3,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
 use http_body::{Body as HttpBody, Frame, SizeHint};
@@ -79,15 +79,27 @@
 pub struct BodyReceiver {
     chunks: mpsc::Receiver<Result<Bytes, BodyError>>,
     is_finished: Arc<AtomicBool>,
+    /// Error that follows once the chunks before it have been passed on.
+    next_error: Option<BodyError>,
 }
 
 impl BodyReceiver {
     /// Receives the next chunk; `None` after the last chunk of a complete body.
     fn poll_chunk(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyError>>> {
-        self.chunks.poll_recv(cx).map(|chunk| match chunk {
+        if let Some(e) = self.next_error.take() {
+            return Poll::Ready(Some(Err(e)));
+        }
+        let chunk = match ready!(self.chunks.poll_recv(cx)) {
             None if !self.is_finished.load(Ordering::Acquire) => Some(Err(BodyError::SenderLost)),
             chunk => chunk,
-        })
+        };
+        if let Some(Err(e)) = chunk {
+            // The server discards what it has not written when a body fails; it writes while a body waits.
+            self.next_error = Some(e);
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        Poll::Ready(chunk)
     }
 }
 
@@ -127,6 +139,7 @@
         let receiver = BodyReceiver {
             chunks: rx,
             is_finished,
+            next_error: None,
         };
         (sender, Self::Stream(receiver))
     }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -464,3 +464,22 @@
     assert!(started.elapsed() < TIMEOUT, "the router gave up before");
     assert!(whole.is_err(), "{whole:?}");
 }
+
+/// Guards against an error that a router reports in a stream and that is discarded when it breaks off.
+#[tokio::test(flavor = "multi_thread")]
+async fn error_of_a_stream_that_a_router_gives_up_reaches_its_caller() {
+    let mut cluster = small_cluster().await;
+    let router = cluster.routers[0].handle.listen;
+    let read = tokio::spawn(async move {
+        let mut transcript = Transcript::default();
+        let stream = caller().open(router, &[], &body(12), &transcript).await;
+        let mut stream = stream.expect("the stream opens");
+        stream.read(&mut transcript).await
+    });
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    for engine in &mut cluster.engines {
+        engine.agent.kill_and_wait().await;
+    }
+    let end = read.await.expect("the caller does not panic");
+    assert!(matches!(end, StreamEnd::Refused(_)), "{end:?}");
+}
