Reset a connection that is cut while it carries a body without a stated end

A caller took a cut body for a whole one if its router or gateway exited or was killed while it sent a response whose end is that of the connection: the operating system closes the connections of a process that ends. It was reset only if the body itself failed.

The connection is now set to be reset from the first byte of such a response, and to be closed in order once all of it has been written.

--- a/crates/cactusbarrow_gateway/src/connection.rs
+++ b/crates/cactusbarrow_gateway/src/connection.rs
@@ -8,7 +8,7 @@
 
 use cactusbarrow_adapter::REQUEST_ID;
 use cactusbarrow_net::{
-    Body, Clock, ConnectionUse, RequestBody, UnreadBody, catch_panic, serve_until_closed,
+    Body, Clock, ConnectionUse, CutGuard, RequestBody, UnreadBody, catch_panic, serve_until_closed,
 };
 use cactusbarrow_policy::{CloseCause, Outcome, Reason};
 use http::{HeaderName, HeaderValue, Method, Request, Response, StatusCode, header};
@@ -53,8 +53,9 @@
 {
     let usage = ConnectionUsage::new(clock, listener, (limits.idle_timeout)());
     let _end = ConnectionEnd::new(usage.clone());
+    let cut_guard = CutGuard::default();
     let service = service_fn(|req| {
-        let served = serve_request(&usage, &handler, req);
+        let served = serve_request(&usage, &handler, req, cut_guard.clone());
         let (usage, limits, stop) = (&usage, &limits, &stop);
         async move {
             let mut res = served.await;
@@ -67,7 +68,7 @@
         .header_read_timeout(None)
         .max_buf_size(limits.header_bytes.max(MIN_HEADER_BYTES))
         .serve_connection(
-            TokioIo::new(TrackedStream::new(stream, usage.clone())),
+            TokioIo::new(TrackedStream::new(stream, usage.clone(), cut_guard.clone())),
             service,
         );
     let usage = TimedUse {
@@ -104,6 +105,7 @@
     usage: &Arc<ConnectionUsage<C>>,
     handler: &H,
     req: Request<Incoming>,
+    cut_guard: CutGuard,
 ) -> impl Future<Output = Response<TrackedBody<C>>> + use<C, H, F>
 where
     C: Clock,
@@ -129,6 +131,9 @@
             usage.record_unread_body();
             set_close(&mut res);
         }
+        if let Body::Unframed(body) = res.body_mut() {
+            body.set_guard(cut_guard);
+        }
         let is_sent = !is_head && res.status() != StatusCode::NO_CONTENT;
         let is_refused = res.extensions().get::<Outcome>().is_some();
         res.map(|body| TrackedBody::new(body, in_flight, is_refused, is_sent))
--- a/crates/cactusbarrow_gateway/src/connection_usage.rs
+++ b/crates/cactusbarrow_gateway/src/connection_usage.rs
@@ -6,7 +6,7 @@
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
-use cactusbarrow_net::{Body, BodyError, Clock, Linger, has_unread_data};
+use cactusbarrow_net::{Body, BodyError, Clock, CutGuard, Linger, has_unread_data};
 use cactusbarrow_policy::{CloseCause, KeptConnection};
 use hyper::body::{Body as HttpBody, Frame, SizeHint};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -266,14 +266,20 @@
 pub(crate) struct TrackedStream<C> {
     stream: TcpStream,
     usage: Arc<ConnectionUsage<C>>,
+    cut_guard: CutGuard,
     linger: Option<Linger>,
 }
 
 impl<C: Clock> TrackedStream<C> {
-    pub(crate) fn new(stream: TcpStream, usage: Arc<ConnectionUsage<C>>) -> Self {
+    pub(crate) fn new(
+        stream: TcpStream,
+        usage: Arc<ConnectionUsage<C>>,
+        cut_guard: CutGuard,
+    ) -> Self {
         Self {
             stream,
             usage,
+            cut_guard,
             linger: None,
         }
     }
@@ -319,6 +325,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.cut_guard.before_write(&self.stream);
         let result = Pin::new(&mut self.stream).poll_write(cx, buf);
         self.record_write(result)
     }
@@ -333,6 +340,7 @@
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         if self.linger.is_none() {
+            self.cut_guard.before_shutdown(&self.stream);
             ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
             if !self.usage.needs_linger() {
                 return Poll::Ready(Ok(()));
@@ -348,6 +356,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.cut_guard.before_write(&self.stream);
         let result = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
         self.record_write(result)
     }
--- a/crates/cactusbarrow_net/src/server.rs
+++ b/crates/cactusbarrow_net/src/server.rs
@@ -18,7 +18,8 @@
 
 use crate::server_connection::{InFlightBody, ServerConnection, ServerStream};
 use crate::{
-    Body, NetError, RequestBody, UnreadBody, accept_until, catch_panic, serve_until_closed,
+    Body, CutGuard, NetError, RequestBody, UnreadBody, accept_until, catch_panic,
+    serve_until_closed,
 };
 
 /// Body of the response to a request whose handler panicked.
@@ -98,11 +99,12 @@
     // Tokens are small writes, which Nagle's algorithm would delay behind one another.
     let _ = stream.set_nodelay(true);
     let usage = ServerConnection::new();
-    let stream = ServerStream::new(stream, usage.clone());
+    let cut_guard = CutGuard::default();
+    let stream = ServerStream::new(stream, usage.clone(), cut_guard.clone());
     let served = usage.clone();
     let service = service_fn(move |mut req: Request<Incoming>| {
         req.extensions_mut().insert(PeerAddr(peer));
-        serve_request(service.clone(), req, served.clone())
+        serve_request(service.clone(), req, served.clone(), cut_guard.clone())
     });
     let mut builder = Builder::new(TokioExecutor::new());
     builder
@@ -127,6 +129,7 @@
     service: S,
     req: Request<Incoming>,
     connection: ServerConnection,
+    cut_guard: CutGuard,
 ) -> Result<Response<InFlightBody>, Infallible>
 where
     S: Service<Request<RequestBody>, Response = Response<Body>, Error = Infallible>,
@@ -147,7 +150,7 @@
         if is_multiplexed {
             body.fail_at_end();
         } else {
-            body.reset_on_failure(connection.clone());
+            body.set_guard(cut_guard);
         }
     }
     // A stream of HTTP/2 ends without closing its connection.
--- a/crates/cactusbarrow_net/src/server_connection.rs
+++ b/crates/cactusbarrow_net/src/server_connection.rs
@@ -13,7 +13,7 @@
 use tokio::net::TcpStream;
 
 use crate::drain::has_unread_data;
-use crate::{Body, BodyError, Clock, ConnectionUse, Linger, SystemClock};
+use crate::{Body, BodyError, Clock, ConnectionUse, CutGuard, Linger, SystemClock};
 
 /// A server's connections are kept until their peers close them.
 const IDLE_TIMEOUT: Duration = Duration::MAX;
@@ -25,8 +25,6 @@
     is_multiplexed: bool,
     /// Whether the rest of a request's body is not read.
     has_unread_body: bool,
-    /// Whether a body failed whose end is that of the connection, so that closing it would end the body in order.
-    has_failed_body: bool,
     /// Whether the next read also looks at data that have arrived, but were not reported yet.
     needs_peek: bool,
 }
@@ -42,7 +40,6 @@
             kept: KeptConnection::new(SystemClock.now(), IDLE_TIMEOUT),
             is_multiplexed: false,
             has_unread_body: false,
-            has_failed_body: false,
             needs_peek: false,
         })))
     }
@@ -60,11 +57,6 @@
         self.state().has_unread_body = true;
     }
 
-    /// Records that a body failed whose end is that of the connection, which is reset instead of closed.
-    pub(crate) fn record_failed_body(&self) {
-        self.state().has_failed_body = true;
-    }
-
     fn record_data(&self) {
         self.state().kept.record_data(SystemClock.now());
     }
@@ -154,14 +146,16 @@
 pub(crate) struct ServerStream {
     stream: TcpStream,
     usage: ServerConnection,
+    cut_guard: CutGuard,
     linger: Option<Linger>,
 }
 
 impl ServerStream {
-    pub(crate) fn new(stream: TcpStream, usage: ServerConnection) -> Self {
+    pub(crate) fn new(stream: TcpStream, usage: ServerConnection, cut_guard: CutGuard) -> Self {
         Self {
             stream,
             usage,
+            cut_guard,
             linger: None,
         }
     }
@@ -175,15 +169,6 @@
     }
 }
 
-impl Drop for ServerStream {
-    fn drop(&mut self) {
-        if self.usage.state().has_failed_body {
-            // It fails only on a connection that has failed before.
-            let _ = self.stream.set_zero_linger();
-        }
-    }
-}
-
 impl AsyncRead for ServerStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -207,6 +192,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.cut_guard.before_write(&self.stream);
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
@@ -217,6 +203,7 @@
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let this = &mut *self;
         if this.linger.is_none() {
+            this.cut_guard.before_shutdown(&this.stream);
             ready!(Pin::new(&mut this.stream).poll_shutdown(cx))?;
             if !this.usage.needs_linger() {
                 return Poll::Ready(Ok(()));
@@ -231,6 +218,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.cut_guard.before_write(&self.stream);
         Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
     }
 
--- a/crates/cactusbarrow_net/src/unframed_body.rs
+++ b/crates/cactusbarrow_net/src/unframed_body.rs
@@ -6,8 +6,7 @@
 use bytes::Bytes;
 use http_body::{Body as HttpBody, Frame};
 
-use crate::server_connection::ServerConnection;
-use crate::{Body, BodyError};
+use crate::{Body, BodyError, CutGuard};
 
 /// Body that states neither its length nor its end.
 #[derive(Debug)]
@@ -21,8 +20,8 @@
 enum Delivery {
     /// Its connection is closed.
     Close,
-    /// Its connection is closed, or reset if the body fails.
-    CloseOrReset(ServerConnection),
+    /// Its connection is closed, or reset if the body does not end.
+    CloseOrReset(CutGuard),
     /// The body fails.
     Error,
 }
@@ -35,9 +34,10 @@
         }
     }
 
-    /// Resets the connection if the body fails, since closing it would end the body in order.
-    pub(crate) fn reset_on_failure(&mut self, connection: ServerConnection) {
-        self.delivery = Delivery::CloseOrReset(connection);
+    /// Has the connection reset unless the body ends, since closing it would end the body in order.
+    pub fn set_guard(&mut self, guard: CutGuard) {
+        guard.begin();
+        self.delivery = Delivery::CloseOrReset(guard);
     }
 
     /// Lets the body fail at its end, for a connection whose streams state their ends.
@@ -52,9 +52,9 @@
         let polled = ready!(Pin::new(&mut *self.body).poll_frame(cx));
         Poll::Ready(match (polled, &self.delivery) {
             (None, Delivery::Error) => Some(Err(BodyError::EndNotStated)),
-            (Some(Err(e)), Delivery::CloseOrReset(connection)) => {
-                connection.record_failed_body();
-                Some(Err(e))
+            (None, Delivery::CloseOrReset(guard)) => {
+                guard.complete();
+                None
             }
             (polled, _) => polled,
         })
--- a/tests/gateway_stops.rs
+++ b/tests/gateway_stops.rs
@@ -14,7 +14,7 @@
 use http_body_util::BodyExt;
 use rustix::process::{Pid, Signal, kill_process};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::JoinSet;
 
 const KEY: &str = "key-of-stops";
@@ -296,3 +296,53 @@
         assert_eq!(engine.runs().len(), MEASURED, "it did not run");
     }
 }
+
+/// Guards against bodies without a stated end that look whole because the process that sends them is killed.
+#[tokio::test(flavor = "multi_thread")]
+async fn body_without_a_stated_end_is_not_whole_if_its_gateway_is_killed() {
+    const BODY_BYTES: usize = 3 << 20;
+    let store = start_store().await;
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("bind");
+    let addr = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        while let Ok((mut conn, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let mut buf = vec![0; 4_096];
+                let count = conn.read(&mut buf).await.unwrap_or(0);
+                let is_call = buf[..count].starts_with(b"GET /read/");
+                let head = "HTTP/1.1 200 OK\r\ncactusbarrow-request-id: whole\r\n\
+                            cactusbarrow-server-signature: s.whole\r\n\r\n";
+                let body = if is_call { BODY_BYTES } else { 0 };
+                let sent = [head.as_bytes(), &vec![b'x'; body]].concat();
+                // The gateway may have left.
+                let _ = conn.write_all(&sent).await;
+            });
+        }
+    });
+    store.put("servers/app", &entry_json("app", addr, "zona-pa", "ready"));
+    let mut gateway = GatewayProcess::start(6, store.addr(), GRACE);
+    gateway.wait_for_line("backend server listed");
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket
+        .set_recv_buffer_size(SLOW_READER_BUFFER)
+        .expect("a small buffer");
+    let mut conn = socket.connect(gateway.callers).await.expect("connect");
+    let head = format!(
+        "GET /read/a HTTP/1.1\r\nhost: ficu.example\r\ncactusbarrow-request-id: whole\r\n\
+         cactusbarrow-key: {KEY}\r\ncactusbarrow-deadline-ms: 20000\r\n\r\n"
+    );
+    conn.write_all(head.as_bytes()).await.expect("send");
+    let mut body = vec![0; 2_000];
+    conn.read_exact(&mut body).await.expect("a response");
+    assert!(body.starts_with(b"HTTP/1.0 200"), "it has no stated end");
+    gateway.signal(Signal::KILL);
+    tokio::task::spawn_blocking(move || gateway.wait_for_exit())
+        .await
+        .expect("the log is read");
+    let read = conn.read_to_end(&mut body).await;
+    assert!(
+        read.is_err() || body.len() > BODY_BYTES,
+        "{} bytes look whole",
+        body.len()
+    );
+}
