Take no response for a report that is none

A stream went on at an engine that had started again at another version if the engine failed the request for its report, or sent a damaged one: what states no incarnation passed for a report of the one that the entry names. Reports of over 64 KiB, on the other hand, kept an engine from all streams.

A response with another status than 200, without an object, or with an incarnation that is no whole number is no report now, and the stream goes elsewhere; a report may have 1 MiB. Stand-ins that answered all requests with an empty body send an object.

--- a/crates/cactusbarrow_gateway/src/incarnation_check.rs
+++ b/crates/cactusbarrow_gateway/src/incarnation_check.rs
@@ -19,7 +19,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Size of the largest report that is read.
-const MAX_REPORT_BYTES: usize = 64 << 10;
+const MAX_REPORT_BYTES: usize = 1 << 20;
 
 /// Which incarnation a report is from.
 enum Reporter {
@@ -53,7 +53,7 @@
     }
 }
 
-/// Asks for a report and compares its incarnation with that of the entry.
+/// Asks for a report and compares its incarnation with that of the entry; fails if the response is no report.
 async fn ask<C: Clock>(
     shared: &Shared<C>,
     (key, entry): (BackendKey, &BackendEntry),
@@ -62,13 +62,18 @@
     metrics::counter!("gateway_incarnation_checks_total").increment(1);
     let req = report_request(&entry.address.to_string());
     let (head, body, conn) = conn.exchange(STEP, req, MAX_REPORT_BYTES).await?;
-    if !entry.may_be_of(decode_report_incarnation(&body)) {
+    let report = decode_report_incarnation(head.status, &body);
+    if report.is_some_and(|incarnation| !entry.may_be_of(incarnation)) {
         shared.record_loss(key, LossCause::Restarted, STEP);
         return Ok(Reporter::Other);
     }
     // That a report is served does not show that requests are, so it ends no stated time.
     let notice = decode_server_notice(head.status, &head.headers);
     shared.record_statement(entry, notice);
+    if report.is_none() {
+        let message = format!("status {} without a report", head.status);
+        return Err(NetError::new(STEP, entry.address, message));
+    }
     shared.fleet().record_report(key, shared.now());
     Ok(Reporter::Registered(conn))
 }
--- a/crates/cactusbarrow_gateway/tests/common/raw_server.rs
+++ b/crates/cactusbarrow_gateway/tests/common/raw_server.rs
@@ -98,7 +98,7 @@
             // A report or a health check, which is answered soundly.
             let health = format!(
                 "HTTP/1.1 200 OK\r\ncactusbarrow-instance-id: raw-{index}\r\n\
-                 content-length: 0\r\n\r\n"
+                 content-length: 2\r\n\r\n{{}}"
             );
             if conn.write_all(health.as_bytes()).await.is_err() {
                 return;
--- a/crates/cactusbarrow_gateway/tests/foreign_responses.rs
+++ b/crates/cactusbarrow_gateway/tests/foreign_responses.rs
@@ -88,8 +88,7 @@
             .find_map(|line| line.strip_prefix("cactusbarrow-request-id: "));
         let id = id.unwrap_or_default().trim().to_owned();
         if id.is_empty() {
-            let health =
-                "HTTP/1.1 200 OK\r\ncactusbarrow-instance-id: faulty\r\ncontent-length: 0\r\n\r\n";
+            let health = "HTTP/1.1 200 OK\r\ncactusbarrow-instance-id: faulty\r\ncontent-length: 2\r\n\r\n{}";
             let _ = conn.write_all(health.as_bytes()).await;
             return;
         }
--- a/crates/cactusbarrow_gateway/tests/streams_ended_by_errors.rs
+++ b/crates/cactusbarrow_gateway/tests/streams_ended_by_errors.rs
@@ -408,7 +408,7 @@
         }
         // A report or a health check, which is answered soundly.
         let health = format!(
-            "HTTP/1.1 200 OK\r\ncactusbarrow-instance-id: raw-{engine}\r\ncontent-length: 0\r\n\r\n"
+            "HTTP/1.1 200 OK\r\ncactusbarrow-instance-id: raw-{engine}\r\ncontent-length: 2\r\n\r\n{{}}"
         );
         if conn.write_all(health.as_bytes()).await.is_err() {
             return;
--- a/crates/cactusbarrow_gateway/tests/versions_joining.rs
+++ b/crates/cactusbarrow_gateway/tests/versions_joining.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use cactusbarrow_adapter_standins::CallerHead;
+use cactusbarrow_adapter_standins::{CallerHead, Fault};
 use common::cut_proxy::CutProxy;
 use common::streams::{begin_stream, writers};
 use common::{
@@ -252,6 +252,23 @@
     }
 }
 
+/// Load pattern: the same, and the engine sends no sound report.
+#[tokio::test]
+async fn engine_that_started_again_and_sends_no_report_continues_no_stream() {
+    let mut cluster = TestCluster::start_with_software(&["v1"], EVENT_INTERVAL).await;
+    let gateway = cluster.one_gateway().await;
+    let last_event = begin_stream(&cluster, &gateway, "begun", "v1").await;
+    start_again(&mut cluster).await;
+    cluster.engines[0].set_fault(Some(Fault::FailReports));
+    for attempt in 0..10 {
+        let id = format!("again-{attempt}");
+        let response = resume(&gateway, &id, Some("begun"), last_event).await;
+        let ran = cluster.run_count(&id);
+        assert_eq!((response.status(), ran), (503, 0), "{id}");
+        tokio::time::sleep(RECOVERY_TIME).await;
+    }
+}
+
 /// Resumes a stream that `v2` began, and checks that `v2` completes it.
 async fn assert_resumed_at_v2(gateway: &Gateway, begun: &str, last_event: u64) {
     let response = resume(gateway, "again", Some(begun), last_event).await;
