Keep the dependencies of the network crate as they were

That state machine, which has no other user than servers, is a part of the network crate now, with its tests. The peek at unread data goes through the standard library, and the linger time through the runtime.

--- a/crates/cactusbarrow_gateway/src/connection.rs
+++ b/crates/cactusbarrow_gateway/src/connection.rs
@@ -8,9 +8,10 @@
 
 use cactusbarrow_adapter::REQUEST_ID;
 use cactusbarrow_net::{
-    Body, Clock, ConnectionUse, CutGuard, RequestBody, UnreadBody, catch_panic, serve_until_closed,
+    Body, Clock, CloseCause, ConnectionUse, CutGuard, RequestBody, UnreadBody, catch_panic,
+    serve_until_closed,
 };
-use cactusbarrow_policy::{CloseCause, Outcome, Reason};
+use cactusbarrow_policy::{Outcome, Reason};
 use http::{HeaderName, HeaderValue, Method, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
--- a/crates/cactusbarrow_gateway/src/connection_usage.rs
+++ b/crates/cactusbarrow_gateway/src/connection_usage.rs
@@ -6,8 +6,10 @@
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
-use cactusbarrow_net::{Body, BodyError, Clock, CutGuard, Linger, has_unread_data};
-use cactusbarrow_policy::{CloseCause, KeptConnection};
+use cactusbarrow_net::{
+    Body, BodyError, Clock, CloseCause, CutGuard, KeptConnection, Linger, has_unread_data,
+};
+
 use hyper::body::{Body as HttpBody, Frame, SizeHint};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
--- a/crates/cactusbarrow_net/src/cut_guard.rs
+++ b/crates/cactusbarrow_net/src/cut_guard.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use socket2::SockRef;
 use tokio::net::TcpStream;
 
 /// Whether the end of a connection is that of a body; clones share it.
@@ -44,7 +43,13 @@
     pub fn before_shutdown(&self, stream: &TcpStream) {
         let is_armed = self.0.is_armed.load(Ordering::Acquire);
         if is_armed && self.0.is_complete.load(Ordering::Acquire) {
-            let _ = SockRef::from(stream).set_linger(None);
+            clear_linger(stream);
         }
     }
 }
+
+#[expect(deprecated, reason = "only a linger time blocks, and this sets none")]
+fn clear_linger(stream: &TcpStream) {
+    // It fails only on a connection that has failed before.
+    let _ = stream.set_linger(None);
+}
--- a/crates/cactusbarrow_net/src/drain.rs
+++ b/crates/cactusbarrow_net/src/drain.rs
@@ -1,17 +1,17 @@
 //! Serves an incoming connection until it may be closed without losing a request.
 
 use std::future::Future;
-use std::mem::MaybeUninit;
+use std::os::fd::{AsFd, OwnedFd};
 use std::pin::Pin;
 use std::task::Poll;
 use std::time::Duration;
 
-use cactusbarrow_policy::CloseCause;
 use hyper_util::server::graceful::GracefulConnection;
-use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
 
+use crate::CloseCause;
+
 /// Interval at which a connection is checked for its idle time-out.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -90,7 +90,8 @@
 
 /// Returns whether data have arrived that have not been read, also before the runtime reports them.
 pub fn has_unread_data(stream: &TcpStream) -> bool {
-    let mut buf = [MaybeUninit::uninit()];
-    // An error is found by the next read, too.
-    matches!(SockRef::from(stream).peek(&mut buf), Ok(count) if count > 0)
+    // The runtime's own peek goes by what it has been told. An error is found by the next read, too.
+    let peek = |socket: OwnedFd| std::net::TcpStream::from(socket).peek(&mut [0]);
+    let socket = stream.as_fd().try_clone_to_owned();
+    matches!(socket.and_then(peek), Ok(count) if count > 0)
 }
--- a/crates/cactusbarrow_net/src/server_connection.rs
+++ b/crates/cactusbarrow_net/src/server_connection.rs
@@ -7,13 +7,15 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cactusbarrow_policy::{CloseCause, KeptConnection};
 use hyper::body::{Body as HttpBody, Frame, SizeHint};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
 use crate::drain::has_unread_data;
-use crate::{Body, BodyError, Clock, ConnectionUse, CutGuard, Linger, SystemClock};
+use crate::{
+    Body, BodyError, Clock, CloseCause, ConnectionUse, CutGuard, KeptConnection, Linger,
+    SystemClock,
+};
 
 /// A server's connections are kept until their peers close them.
 const IDLE_TIMEOUT: Duration = Duration::MAX;
--- a/crates/cactusbarrow_policy/tests/kept_connection.rs
+++ b/crates/cactusbarrow_net/tests/kept_connection.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use cactusbarrow_policy::{CloseCause, KeptConnection};
+use cactusbarrow_net::{CloseCause, KeptConnection};
 
 const LONG: Duration = Duration::from_secs(15);
 const SHORT: Duration = Duration::from_secs(1);
--- a/crates/cactusbarrow_policy/src/lib.rs
+++ b/crates/cactusbarrow_policy/src/lib.rs
@@ -25,7 +25,6 @@
 mod health;
 mod heartbeat;
 mod ids;
-mod kept_connection;
 mod limits;
 mod load_balancing;
 mod operator_config;
@@ -84,7 +83,6 @@
 pub use health::{BackendHealth, HealthConfig};
 pub use heartbeat::{Heartbeat, HeartbeatConfig, HeartbeatStep};
 pub use ids::{AttemptNumber, ClaimNonce, GenerationId, KeyHash, Revision};
-pub use kept_connection::{CloseCause, KeptConnection};
 pub use limits::{CustomerLimiter, CustomerLimits, LimitRefusal};
 pub use load_balancing::{
     BackendLoad, BalancingConfig, BalancingRequest, BalancingStrategy, Candidate, LoadTable,
