Expect a body to wait once before its failure

Two tests of streamed bodies failed since a body lets the server write what it holds before it fails: they polled once and took the wait for a missing end.

They now check more: that the body waits exactly once, has itself polled again at once, and ends with the error of its cause, where one of them took any error before.

--- a/crates/cactusbarrow_net/tests/body.rs
+++ b/crates/cactusbarrow_net/tests/body.rs
@@ -1,7 +1,9 @@
 //! A streamed body is complete only if its sender says so.
 
 use std::pin::pin;
-use std::task::{Context, Poll, Waker};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::task::{Context, Poll, Wake, Waker};
 
 use bytes::Bytes;
 use cactusbarrow_net::{Body, BodyError, BodySender};
@@ -27,6 +29,36 @@
     }
 }
 
+/// Records whether it was woken.
+#[derive(Default)]
+struct WakeRecorder(AtomicBool);
+
+impl Wake for WakeRecorder {
+    fn wake(self: Arc<Self>) {
+        self.0.store(true, Ordering::Release);
+    }
+}
+
+/// Returns the error by which a body ends: it waits once, so that what it has passed on is written, and has itself
+/// polled again at once.
+fn end_error(body: &mut Body) -> BodyError {
+    let recorder = Arc::new(WakeRecorder::default());
+    let waker = Waker::from(recorder.clone());
+    let polled = pin!(&mut *body).poll_frame(&mut Context::from_waker(&waker));
+    assert!(
+        polled.is_pending(),
+        "the body ends before its chunks are written"
+    );
+    assert!(
+        recorder.0.load(Ordering::Acquire),
+        "the body is not polled again"
+    );
+    match next_chunk(body) {
+        Some(Err(e)) => e,
+        end => panic!("the body ended normally: {end:?}"),
+    }
+}
+
 /// Returns a sender that has sent one chunk, and the body that receives it.
 fn started_body() -> (BodySender, Body) {
     let (tx, mut body) = Body::channel();
@@ -49,17 +81,12 @@
 fn body_whose_sender_was_dropped_does_not_look_complete() {
     let (tx, mut body) = started_body();
     drop(tx);
-    let end = next_chunk(&mut body);
-    assert!(
-        end.is_some_and(|end| end.is_err()),
-        "the body ended normally"
-    );
+    assert!(matches!(end_error(&mut body), BodyError::SenderLost));
 }
 
 #[test]
 fn aborted_body_ends_with_an_error() {
     let (tx, mut body) = started_body();
     poll_now(tx.abort());
-    let end = next_chunk(&mut body);
-    assert!(matches!(end, Some(Err(BodyError::Aborted))));
+    assert!(matches!(end_error(&mut body), BodyError::Aborted));
 }
