Play single stops in the soak, and name what excuses each lost request

It also counted excused losses as one.

The scenario single-stops stops one gateway at a time, with calm between. Forty requests are sent to it until its exit, on connections that were opened before, some with bodies that end late, while engines slow down by up to 8. One route has generations that cannot be resumed. Callers retry elsewhere, as the platform's do. Each request without a response is counted by what excuses it, and the report tells what requests cost their callers that began at a stopping gateway.

--- a/examples/soak/balancer.rs
+++ b/examples/soak/balancer.rs
@@ -57,8 +57,9 @@
         }
     }
 
-    /// Chooses the gateway of a new connection: one in rotation, or any if under half of them are.
-    pub(crate) fn choose(&self, rng: &mut StdRng) -> usize {
+    /// Chooses the gateway of a new connection: one in rotation, or any if under half of them are; a retry reaches
+    /// another one than `last`, if there is one.
+    pub(crate) fn choose(&self, last: Option<usize>, rng: &mut StdRng) -> usize {
         let is_in_rotation =
             |gateway: &usize| self.misses[*gateway].load(Ordering::Relaxed) < MAX_MISSES;
         let all = 0..self.misses.len();
@@ -66,6 +67,9 @@
         if usable.len() * 2 < self.misses.len() {
             usable = all.collect();
         }
+        if usable.len() > 1 {
+            usable.retain(|gateway| Some(*gateway) != last);
+        }
         usable[rng.random_range(0..usable.len())]
     }
 }
--- a/examples/soak/callers.rs
+++ b/examples/soak/callers.rs
@@ -15,14 +15,15 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::balancer::Balancer;
-use crate::client::{Client, SentWhole, draw_body};
+use crate::client::{Client, SentWhole};
 use crate::environment::{
-    ENGINE_PACE, EVENT_INTERVAL, EVENTS_PER_GENERATION, Environment, PERMANENT_KEY, SERVICES, lock,
-    version_key,
+    ENGINE_PACE, EVENT_INTERVAL, EVENTS_PER_GENERATION, Environment, ONCE_PREFIX, PERMANENT_KEY,
+    SERVICES, lock, version_key,
 };
-use crate::ledger::{Attempt, Ledger, Scope};
+use crate::ledger::{Attempt, Ledger, RequestKind, Scope};
 use crate::process::gateway_ip;
 use crate::scenarios::SLOWDOWN;
+use crate::stop_costs::{Operation, OperationEnd};
 
 /// Time that a caller waits for the response to a call.
 const CALL_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -47,6 +48,9 @@
 /// Pause between two requests of a caller, in milliseconds.
 const THINK_TIME_MS: std::ops::Range<u64> = 5..60;
 
+/// Time between the connect of a late request and its head, in milliseconds.
+const LATE_CONNECT_MS: std::ops::Range<u64> = 0..900;
+
 /// Pause between two requests that end backend servers, of one caller, in milliseconds.
 const DEADLY_THINK_TIME_MS: std::ops::Range<u64> = 200..700;
 
@@ -137,6 +141,8 @@
     client: Option<Client>,
     /// Time that the current request takes at the slowest pace of its engine, if that depends on its size.
     needed: Duration,
+    /// Time to wait before a retry, as the last response to a call names it.
+    retry_after: Duration,
     rng: StdRng,
 }
 
@@ -157,6 +163,7 @@
             http: HttpClient::new(HttpVersion::Http1),
             client: None,
             needed: Duration::ZERO,
+            retry_after: Duration::ZERO,
             rng: StdRng::seed_from_u64(seed),
         }
     }
@@ -177,6 +184,7 @@
                 kind if self.client.is_some() => match kind {
                     0..15 => self.call("read").await,
                     15..30 => self.call("write").await,
+                    30..50 => self.run_once_generation().await,
                     _ => self.run_generation().await,
                 },
                 0..40 => self.call("read").await,
@@ -215,8 +223,8 @@
         let sent_whole = SentWhole::default();
         let body = if method == "GET" {
             Body::Empty
-        } else if self.client.is_some() {
-            draw_body(body, &sent_whole, &mut self.rng)
+        } else if let Some(client) = &self.client {
+            client.draw_body(body, &sent_whole, &mut self.rng)
         } else {
             Body::full(body.to_owned())
         };
@@ -231,7 +239,7 @@
             ended_at: now,
             status: None,
             service: SERVICES[usize::from(!head.path.starts_with("/stream/"))],
-            is_at_most_once: head.path.starts_with("/write/"),
+            kind: RequestKind::of_path(head.path),
         };
         self.shared.ledger.record_sent(head.request_id, attempt);
         let req = head.encode(addr.parse().ok()?, method, body);
@@ -279,10 +287,11 @@
         let response = tokio::time::timeout(timeout, exchange).await.ok().flatten();
         let status = response.as_ref().map(|(head, _)| head.status.as_u16());
         self.shared.ledger.record_response(head.request_id, status);
-        if let Some((parts, body)) = response
-            && parts.status.is_success()
-        {
-            self.check_success(head.request_id, &parts, &body);
+        if let Some((parts, body)) = response {
+            self.retry_after = retry_after(&parts);
+            if parts.status.is_success() {
+                self.check_success(head.request_id, &parts, &body);
+            }
         }
         status
     }
@@ -341,14 +350,33 @@
         }
     }
 
+    /// Makes a call; a caller behind the load balancer makes it once more if it has not run.
     async fn call(&mut self, kind: &'static str) {
         self.needed = Duration::ZERO;
-        let id = self.shared.create_id(kind);
-        let gateway = self.draw_gateway().await;
         let path = format!("/{kind}/a");
         let method = if kind == "read" { "GET" } else { "POST" };
+        let gateway = self.draw_gateway().await;
+        let mut operation = Operation::begin(RequestKind::of_path(&path), gateway);
+        let id = self.call_once(gateway, kind, &path, method).await;
+        if self.record_attempt(&mut operation, &id) && self.client.is_some() {
+            tokio::time::sleep(self.retry_after).await;
+            let gateway = self.draw_gateway().await;
+            let id = self.call_once(gateway, kind, &path, method).await;
+            self.record_attempt(&mut operation, &id);
+        }
+        self.record_operation(operation);
+    }
+
+    async fn call_once(
+        &mut self,
+        gateway: usize,
+        kind: &'static str,
+        path: &str,
+        method: &str,
+    ) -> String {
+        let id = self.shared.create_id(kind);
         let status = self
-            .call_status(gateway, &call_head(&id, &path, PERMANENT_KEY), method)
+            .call_status(gateway, &call_head(&id, path, PERMANENT_KEY), method)
             .await;
         self.shared.ledger.increment(match status {
             Some(200) => "calls served",
@@ -356,6 +384,29 @@
             Some(_) => "calls failed",
             None => "calls without a response",
         });
+        id
+    }
+
+    /// Records how an attempt at an operation ended; returns whether it may be sent again because it did not run.
+    fn record_attempt(&mut self, operation: &mut Operation, id: &str) -> bool {
+        let Some(attempt) = self.shared.ledger.attempt(id) else {
+            return false;
+        };
+        let has_not_run = operation.record(&attempt);
+        if let Some(client) = &mut self.client {
+            client.record_refusal(has_not_run.then_some(attempt.gateway));
+        }
+        has_not_run
+    }
+
+    fn record_operation(&mut self, operation: Operation) {
+        if let Some(client) = &mut self.client {
+            client.record_refusal(None);
+        }
+        self.shared.ledger.record_operation(Operation {
+            ended_at: Instant::now(),
+            ..operation
+        });
     }
 
     /// Calls a route that only the newest configuration contains.
@@ -449,9 +500,12 @@
         self.needed = size.map_or(Duration::ZERO, GenerationTokens::longest_time);
         let started = Instant::now();
         let mut progress = Progress::default();
+        let mut operation = None;
         while started.elapsed() < timeout {
             let id = self.shared.create_id("stream");
             let gateway = self.draw_gateway().await;
+            let operation =
+                operation.get_or_insert_with(|| Operation::begin(RequestKind::Generation, gateway));
             let time_left = timeout.saturating_sub(started.elapsed());
             let last_id = progress.last_event.to_string();
             let mut extra = vec![("cactusbarrow-prompt-prefix", prefix.as_str())];
@@ -471,18 +525,24 @@
             };
             let Some(res) = self.send(gateway, &head, "POST", BODY).await else {
                 self.shared.ledger.record_response(&id, None);
+                self.record_attempt(operation, &id);
                 continue;
             };
             let status = res.status().as_u16();
             if status != 200 {
                 self.shared.ledger.record_response(&id, Some(status));
-                self.wait_before_retry(&res).await;
+                self.record_attempt(operation, &id);
+                let (head, _) = res.into_parts();
+                tokio::time::sleep(retry_after(&head)).await;
                 continue;
             }
             let is_complete = self.read_stream(res, &id, &prompt, &mut progress).await;
             let status = is_complete.then_some(200);
             self.shared.ledger.record_response(&id, status);
+            self.record_attempt(operation, &id);
             if is_complete {
+                let operation = *operation;
+                self.record_operation(operation);
                 let last_event = progress.last_event;
                 if last_event != expected {
                     let text = format!("{id}: ended as complete after event {last_event}");
@@ -495,24 +555,88 @@
             }
             self.shared.ledger.increment("generations broken off");
         }
+        if let Some(operation) = operation {
+            let end = OperationEnd::GivenUp;
+            self.record_operation(Operation { end, ..operation });
+        }
         self.shared.ledger.increment("generations given up");
     }
 
+    /// Requests a generation that cannot be resumed; one that has not run is sent once more.
+    async fn run_once_generation(&mut self) {
+        let size = GENERATION_SIZES[self.rng.random_range(0..GENERATION_SIZES.len())];
+        self.needed = size.longest_time();
+        let gateway = self.draw_gateway().await;
+        let mut operation = Operation::begin(RequestKind::OnceGeneration, gateway);
+        let id = self.run_once_attempt(gateway, size).await;
+        if self.record_attempt(&mut operation, &id) {
+            tokio::time::sleep(self.retry_after).await;
+            let gateway = self.draw_gateway().await;
+            let id = self.run_once_attempt(gateway, size).await;
+            self.record_attempt(&mut operation, &id);
+        }
+        self.shared.ledger.increment(match operation.end {
+            OperationEnd::Whole => "single generations served",
+            OperationEnd::Lost => "single generations lost",
+            OperationEnd::GivenUp => "single generations refused",
+        });
+        self.record_operation(operation);
+    }
+
+    async fn run_once_attempt(&mut self, gateway: usize, size: GenerationTokens) -> String {
+        let id = self.shared.create_id("once");
+        let prompt = id.replace('-', "");
+        let prefix = format!("{COMMON_PART},{prompt}:5000");
+        let usage = size.header();
+        let path = format!("{ONCE_PREFIX}a");
+        let head = CallerHead {
+            request_id: &id,
+            path: &path,
+            key: PERMANENT_KEY,
+            deadline_ms: LONG_GENERATION_TIMEOUT.as_millis() as u64,
+            extra: &[
+                ("cactusbarrow-prompt-prefix", &prefix),
+                ("cactusbarrow-token-usage", &usage),
+            ],
+        };
+        let mut status = None;
+        self.retry_after = Duration::ZERO;
+        if let Some(res) = self.send(gateway, &head, "POST", BODY).await {
+            status = Some(res.status().as_u16());
+            if status == Some(200) {
+                let mut progress = Progress::default();
+                let is_complete = self.read_stream(res, &id, &prompt, &mut progress).await;
+                status = is_complete.then_some(200);
+            } else {
+                self.retry_after = retry_after(&res.into_parts().0);
+            }
+        }
+        self.shared.ledger.record_response(&id, status);
+        id
+    }
+
+    /// Sends one request of a drawn kind to a gateway at a time, on a connection that was opened before.
+    pub(crate) async fn send_late(mut self, gateway: usize, at: Instant) {
+        if let Some(client) = &mut self.client {
+            let early = Duration::from_millis(self.rng.random_range(LATE_CONNECT_MS));
+            tokio::time::sleep_until((at - early).into()).await;
+            client.bind_to(gateway).await;
+        }
+        tokio::time::sleep_until(at.into()).await;
+        match self.rng.random_range(0..4) {
+            0 => self.call("read").await,
+            1 => self.call("write").await,
+            2 => self.run_once_generation().await,
+            _ => self.run_generation().await,
+        }
+    }
+
     /// Draws the size of a generation; `None` if the engines give all of them the same.
     fn draw_size(&mut self) -> Option<GenerationTokens> {
         self.client.as_ref()?;
         Some(GENERATION_SIZES[self.rng.random_range(0..GENERATION_SIZES.len())])
     }
 
-    async fn wait_before_retry<B>(&self, res: &Response<B>) {
-        let wait = res
-            .headers()
-            .get("retry-after")
-            .and_then(|v| v.to_str().ok());
-        let wait = wait.and_then(|v| v.parse::<f64>().ok()).unwrap_or(0.1);
-        tokio::time::sleep(Duration::from_secs_f64(wait.clamp(0.01, 2.0))).await;
-    }
-
     /// Reads a stream; returns whether it closed in order after its last whole event.
     async fn read_stream(
         &mut self,
@@ -573,6 +697,14 @@
     }
 }
 
+/// Returns the time that a response names to wait before a retry.
+fn retry_after(head: &http::response::Parts) -> Duration {
+    let wait = head.headers.get("retry-after");
+    let wait = wait.and_then(|value| value.to_str().ok());
+    let wait = wait.and_then(|value| value.parse::<f64>().ok());
+    Duration::from_secs_f64(wait.unwrap_or(0.1).clamp(0.01, 2.5))
+}
+
 fn call_head<'a>(id: &'a str, path: &'a str, key: &'a str) -> CallerHead<'a> {
     CallerHead {
         request_id: id,
--- a/examples/soak/checks.rs
+++ b/examples/soak/checks.rs
@@ -118,34 +118,54 @@
     attempt: &Attempt,
     runs: &[&Run],
 ) {
-    if attempt.is_at_most_once && runs.len() > 1 {
+    if attempt.kind.is_at_most_once() && runs.len() > 1 {
         let text = format!("{id} ran {} times", runs.len());
         ledger.record_violation("at most once", text);
     }
     let is_reported_not_run = attempt
         .status
         .is_some_and(|status| NOT_RUN_STATUSES.contains(&status));
-    if attempt.is_at_most_once && is_reported_not_run && !runs.is_empty() {
+    if attempt.kind.is_at_most_once() && is_reported_not_run && !runs.is_empty() {
         let text = format!("{id} got {:?} and ran", attempt.status);
         ledger.record_violation("a not-run status means that the request did not run", text);
     }
+    if attempt.status.is_none() {
+        check_lost(ledger, environment, id, attempt, runs);
+    }
+}
+
+/// Checks that an attempt without a complete response is excused, and counts by what.
+fn check_lost(
+    ledger: &Ledger,
+    environment: &Environment,
+    id: &str,
+    attempt: &Attempt,
+    runs: &[&Run],
+) {
     // A pause, a graceful stop or an outage of the store alone does not excuse a lost request.
     let [unplanned, link, _] = Scope::of_gateway(attempt.gateway);
     let unplanned = [unplanned, link, Scope::Backends, Scope::BackendLinks];
-    let is_unexcused = ledger.is_undisrupted(&unplanned, attempt.sent_at, attempt.ended_at);
+    let is_undisrupted = ledger.is_undisrupted(&unplanned, attempt.sent_at, attempt.ended_at);
     let sent_whole_at = attempt.sent_whole_at.unwrap_or(attempt.sent_at);
     let since_sent = attempt.ended_at.saturating_duration_since(sent_whole_at);
     // A gateway that stops may close a connection on which it has not read a request.
     let is_accepted = !runs.is_empty() || since_sent > LOSS_BOUND + CALLER_DELAY_ALLOWANCE;
-    let is_excused = is_cut_in_last_grace(ledger, environment.grace, attempt, runs)
-        || is_stream_cut_at_deadline(attempt, runs);
-    if attempt.status.is_none() && is_accepted && is_unexcused && !is_excused {
+    ledger.increment(if !is_undisrupted {
+        "lost beside unplanned disruptions"
+    } else if !is_accepted {
+        "not taken"
+    } else if is_cut_in_last_grace(ledger, environment.grace, attempt, runs) {
+        "cut at the exit, sent within 3 s"
+    } else if is_stream_cut_at_deadline(attempt, runs) {
+        "cut at the deadline"
+    } else {
         let text = describe_loss(ledger, id, attempt, runs);
         ledger.record_violation(
             "pauses, planned stops and store outages interrupt no request",
             text,
         );
-    }
+        "lost"
+    });
 }
 
 /// Returns whether a stopping gateway cut an attempt at the end of its grace period, while a backend server still
--- a/examples/soak/client.rs
+++ b/examples/soak/client.rs
@@ -1,6 +1,7 @@
 //! A client that keeps connections, and sends and reads at different paces.
 
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -23,7 +24,7 @@
 const EARLY_PROBABILITY: f64 = 0.3;
 
 /// Time between such a connection and its first request, in milliseconds.
-const EARLY_MS: std::ops::Range<u64> = 0..2_500;
+const EARLY_MS: Range<u64> = 0..2_500;
 
 /// Time-out of a connect.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -35,15 +36,16 @@
 const SLOW_READER_PROBABILITY: f64 = 0.15;
 
 /// Pause of a client that reads slowly before each part of a response, in milliseconds.
-const SLOW_READ_MS: std::ops::Range<u64> = 10..80;
+const SLOW_READ_MS: Range<u64> = 10..80;
 
 /// Probabilities that a body is sent in chunks, and that these come slowly.
 const CHUNKED_PROBABILITY: f64 = 0.4;
 const SLOW_CHUNKS_PROBABILITY: f64 = 0.4;
 
 /// Pauses before the chunks of a body, in milliseconds.
-const FAST_CHUNK_MS: std::ops::Range<u64> = 0..30;
-const SLOW_CHUNK_MS: std::ops::Range<u64> = 50..250;
+const FAST_CHUNK_MS: Range<u64> = 0..30;
+const SLOW_CHUNK_MS: Range<u64> = 50..250;
+const LATE_CHUNK_MS: Range<u64> = 100..1_500;
 
 /// When the last byte of a request was handed over for sending.
 pub(crate) type SentWhole = Arc<Mutex<Option<Instant>>>;
@@ -59,6 +61,12 @@
     balancer: Arc<Balancer>,
     port: u16,
     connection: Option<Connection>,
+    /// Gateway that refused the request of the client, which retries elsewhere.
+    refused_by: Option<usize>,
+    /// Whether the next request is sent on the connection that is open, or was.
+    is_bound: bool,
+    /// Pauses before the chunks of a body that is sent slowly, in milliseconds.
+    slow_chunk_ms: Range<u64>,
 }
 
 impl Client {
@@ -67,18 +75,37 @@
             balancer,
             port,
             connection: None,
+            refused_by: None,
+            is_bound: false,
+            slow_chunk_ms: SLOW_CHUNK_MS,
         }
     }
 
+    /// Connects to a gateway, for the next request only.
+    ///
+    /// Its body may arrive much later than its head.
+    pub(crate) async fn bind_to(&mut self, gateway: usize) {
+        let opened = tokio::time::timeout(CONNECT_TIMEOUT, self.connect(gateway, false)).await;
+        self.connection = opened.ok().and_then(Result::ok);
+        self.is_bound = true;
+        self.slow_chunk_ms = LATE_CHUNK_MS;
+    }
+
+    /// Records whether a gateway refused the request that is retried.
+    pub(crate) fn record_refusal(&mut self, gateway: Option<usize>) {
+        self.refused_by = gateway;
+    }
+
     /// Chooses the connection of the next request; returns its gateway, whether or not it can be reached.
     pub(crate) async fn choose_gateway(&mut self, rng: &mut StdRng) -> usize {
         let is_usable = |connection: &Connection| !connection.sender.is_closed();
-        if let Some(kept) = self.connection.as_ref().filter(|kept| is_usable(kept))
-            && rng.random_bool(REUSE_PROBABILITY)
+        let is_bound = std::mem::take(&mut self.is_bound);
+        if let Some(kept) = self.connection.as_ref()
+            && (is_bound || is_usable(kept) && rng.random_bool(REUSE_PROBABILITY))
         {
             return kept.gateway;
         }
-        let gateway = self.balancer.choose(rng);
+        let gateway = self.balancer.choose(self.refused_by, rng);
         let is_slow_reader = rng.random_bool(SLOW_READER_PROBABILITY);
         let opened = self.connect(gateway, is_slow_reader);
         let opened = tokio::time::timeout(CONNECT_TIMEOUT, opened).await;
@@ -118,6 +145,28 @@
         connection.sender.send_request(req).await.ok()
     }
 
+    /// Draws how a body is sent: at once, or in chunks; `sent_whole` records when its last byte was handed over.
+    pub(crate) fn draw_body(&self, text: &str, sent_whole: &SentWhole, rng: &mut StdRng) -> Body {
+        if !rng.random_bool(CHUNKED_PROBABILITY) {
+            record_sent_whole(sent_whole);
+            return Body::full(text.to_owned());
+        }
+        let is_slow = rng.random_bool(SLOW_CHUNKS_PROBABILITY);
+        let pauses = if is_slow {
+            self.slow_chunk_ms.clone()
+        } else {
+            FAST_CHUNK_MS
+        };
+        let mut chunks = Vec::new();
+        for piece in text.as_bytes().chunks(3) {
+            let pause = Duration::from_millis(rng.random_range(pauses.clone()));
+            chunks.push((pause, piece.to_vec()));
+        }
+        let (tx, body) = Body::channel();
+        tokio::spawn(send_chunks(tx, chunks, sent_whole.clone()));
+        body
+    }
+
     /// Draws the pause before the next part of a response is read.
     pub(crate) fn read_pause(&self, rng: &mut StdRng) -> Option<Duration> {
         let connection = self.connection.as_ref()?;
@@ -126,28 +175,6 @@
     }
 }
 
-/// Draws how a body is sent: at once, or in chunks; `sent_whole` records when its last byte was handed over.
-pub(crate) fn draw_body(text: &str, sent_whole: &SentWhole, rng: &mut StdRng) -> Body {
-    if !rng.random_bool(CHUNKED_PROBABILITY) {
-        record_sent_whole(sent_whole);
-        return Body::full(text.to_owned());
-    }
-    let is_slow = rng.random_bool(SLOW_CHUNKS_PROBABILITY);
-    let pauses = if is_slow {
-        SLOW_CHUNK_MS
-    } else {
-        FAST_CHUNK_MS
-    };
-    let mut chunks = Vec::new();
-    for piece in text.as_bytes().chunks(3) {
-        let pause = Duration::from_millis(rng.random_range(pauses.clone()));
-        chunks.push((pause, piece.to_vec()));
-    }
-    let (tx, body) = Body::channel();
-    tokio::spawn(send_chunks(tx, chunks, sent_whole.clone()));
-    body
-}
-
 async fn send_chunks(tx: BodySender, chunks: Vec<(Duration, Vec<u8>)>, sent_whole: SentWhole) {
     for (pause, chunk) in chunks {
         tokio::time::sleep(pause).await;
--- a/examples/soak/environment.rs
+++ b/examples/soak/environment.rs
@@ -41,9 +41,13 @@
 /// Software versions of backend servers; a run uses the first ones.
 pub(crate) const SOFTWARE_VERSIONS: [&str; 3] = ["v1", "v2", "v3"];
 
-/// Index of the lookup route in the stand-in's configuration.
+/// Indices of routes in the stand-in's configuration.
+const STREAM_ROUTE_INDEX: usize = 0;
 const LOOKUP_ROUTE_INDEX: usize = 1;
 
+/// Prefix of the route of generations that cannot be resumed.
+pub(crate) const ONCE_PREFIX: &str = "/stream/once/";
+
 /// A backend server behind a proxy, whose address stays when the instance is replaced.
 #[derive(Debug)]
 pub(crate) struct ProxiedBackend {
@@ -427,8 +431,12 @@
     let mut route = config["routes"][LOOKUP_ROUTE_INDEX].clone();
     route["name"] = json!(format!("r-v{version}"));
     route["prefix"] = json!(format!("/v{version}/"));
+    let mut once = config["routes"][STREAM_ROUTE_INDEX].clone();
+    once["name"] = json!("r-once");
+    once["prefix"] = json!(ONCE_PREFIX);
+    once["streamResume"] = json!(false);
     if let Some(routes) = config["routes"].as_array_mut() {
-        routes.push(route);
+        routes.extend([route, once]);
     }
     config.to_string()
 }
--- a/examples/soak/faults.rs
+++ b/examples/soak/faults.rs
@@ -512,6 +512,16 @@
         Ok(description)
     }
 
+    /// Stops a gateway after some time and starts it again.
+    pub(crate) async fn stop_once_later(
+        mut self,
+        gateway: usize,
+        after: Duration,
+    ) -> anyhow::Result<String> {
+        tokio::time::sleep(after).await;
+        self.stop(gateway).await
+    }
+
     async fn stop(&mut self, gateway: usize) -> anyhow::Result<String> {
         let id = self.ledger.begin_disruption(Scope::Stop(gateway));
         lock(&self.environment.gateways[gateway]).signal(Signal::TERM);
--- a/examples/soak/ledger.rs
+++ b/examples/soak/ledger.rs
@@ -4,9 +4,15 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use crate::environment::ONCE_PREFIX;
+use crate::stop_costs::Operation;
+
 /// Time after the end of a disruption during which bounds need not hold.
 const RECOVERY_TIME: Duration = Duration::from_secs(3);
 
+/// Time after the last byte of a request in which a connection is closed that was not read.
+const UNREAD_BOUND: Duration = Duration::from_millis(200);
+
 /// Largest number of violations of one invariant whose text is kept.
 const MAX_VIOLATION_TEXTS: usize = 10;
 
@@ -114,8 +120,47 @@
     pub(crate) status: Option<u16>,
     /// Service that its route names.
     pub(crate) service: &'static str,
-    /// Whether it may run at most once.
-    pub(crate) is_at_most_once: bool,
+    pub(crate) kind: RequestKind,
+}
+
+impl Attempt {
+    /// Returns whether its connection was closed, or not opened, before the request can have been read.
+    pub(crate) fn is_not_taken(&self) -> bool {
+        let sent_at = self.sent_whole_at.unwrap_or(self.sent_at);
+        let since_sent = self.ended_at.saturating_duration_since(sent_at);
+        self.status.is_none() && self.answered_at.is_none() && since_sent <= UNREAD_BOUND
+    }
+}
+
+/// Kind of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum RequestKind {
+    Lookup,
+    Booking,
+    /// A generation that its caller can resume.
+    Generation,
+    /// A generation that nobody can resume.
+    OnceGeneration,
+}
+
+impl RequestKind {
+    /// Returns the kind of the requests of a path.
+    pub(crate) fn of_path(path: &str) -> Self {
+        if path.starts_with(ONCE_PREFIX) {
+            Self::OnceGeneration
+        } else if path.starts_with("/stream/") {
+            Self::Generation
+        } else if path.starts_with("/write/") {
+            Self::Booking
+        } else {
+            Self::Lookup
+        }
+    }
+
+    /// Returns whether a request may run at most once.
+    pub(crate) fn is_at_most_once(self) -> bool {
+        matches!(self, Self::Booking | Self::OnceGeneration)
+    }
 }
 
 #[derive(Debug, Default)]
@@ -127,6 +172,7 @@
     waits: Vec<Wait>,
     attempts: HashMap<String, Attempt>,
     counts: HashMap<&'static str, u64>,
+    operations: Vec<Operation>,
     violations: Vec<String>,
     violation_count: u64,
 }
@@ -300,11 +346,26 @@
         }
     }
 
+    /// Returns an attempt that was recorded.
+    pub(crate) fn attempt(&self, request_id: &str) -> Option<Attempt> {
+        self.state().attempts.get(request_id).copied()
+    }
+
     /// Returns all attempts by their request ids.
     pub(crate) fn attempts(&self) -> HashMap<String, Attempt> {
         self.state().attempts.clone()
     }
 
+    /// Records what a caller got in the end.
+    pub(crate) fn record_operation(&self, operation: Operation) {
+        self.state().operations.push(operation);
+    }
+
+    /// Returns what callers got in the end.
+    pub(crate) fn operations(&self) -> Vec<Operation> {
+        self.state().operations.clone()
+    }
+
     /// Increments the counter `name`.
     pub(crate) fn increment(&self, name: &'static str) {
         *self.state().counts.entry(name).or_default() += 1;
--- a/examples/soak/main.rs
+++ b/examples/soak/main.rs
@@ -16,6 +16,7 @@
 mod proxy;
 mod scenario_checks;
 mod scenarios;
+mod stop_costs;
 
 use std::net::Ipv4Addr;
 use std::path::{Path, PathBuf};
@@ -80,7 +81,7 @@
 impl Plan {
     /// Returns whether graceful stops are what is tested: callers then connect through a load balancer.
     fn tests_stops(&self) -> bool {
-        self.scenarios.contains(&Scenario::Stops)
+        self.scenarios.iter().any(|scenario| scenario.tests_stops())
     }
 
     /// Returns the grace period of the gateways.
@@ -184,14 +185,18 @@
     tokio::time::sleep(START_WAIT).await;
     let (stop_callers, stop_faults) = (CancellationToken::new(), CancellationToken::new());
     let callers = Arc::new(CallerContext::new(environment.clone(), ledger.clone()));
-    let mut running = start_callers(&plan, &callers, &stop_callers);
+    let balancer = plan.tests_stops().then(|| {
+        environment.set_pace(ENGINE_PACE);
+        Balancer::start(plan.gateways, environment.base_port)
+    });
+    let mut running = start_callers(&plan, &callers, balancer.as_ref(), &stop_callers);
     let mut injectors = JoinSet::new();
     for i in 0..plan.injectors {
         let injector = Injector::new(environment.clone(), ledger.clone(), &plan, i);
         injectors.spawn(injector.run(stop_faults.clone()));
     }
     for scenario in &plan.scenarios {
-        let player = ScenarioPlayer::new(callers.clone(), *scenario, &plan);
+        let player = ScenarioPlayer::new(callers.clone(), *scenario, &plan, balancer.clone());
         injectors.spawn(player.run(stop_faults.clone()));
     }
     tokio::time::sleep(plan.faults).await;
@@ -228,16 +233,16 @@
 }
 
 /// Starts the callers, which run until `stop` is cancelled.
-fn start_callers(plan: &Plan, cx: &Arc<CallerContext>, stop: &CancellationToken) -> JoinSet<()> {
-    let environment = &cx.environment;
-    let balancer = plan.tests_stops().then(|| {
-        environment.set_pace(ENGINE_PACE);
-        Balancer::start(plan.gateways, environment.base_port)
-    });
+fn start_callers(
+    plan: &Plan,
+    cx: &Arc<CallerContext>,
+    balancer: Option<&Arc<Balancer>>,
+    stop: &CancellationToken,
+) -> JoinSet<()> {
     let mut running = JoinSet::new();
     for i in 0..plan.callers {
         let (cx, seed) = (cx.clone(), plan.seed * 1_000 + i as u64);
-        let caller = match &balancer {
+        let caller = match balancer {
             Some(balancer) => Caller::behind(cx, seed, balancer.clone()),
             None => Caller::new(cx, seed),
         };
@@ -258,6 +263,9 @@
         faults.len(),
         counts.join(", ")
     );
+    for line in stop_costs::describe(ledger) {
+        println!("  in a stop, {line}");
+    }
     let (violations, count) = ledger.violations();
     if count == 0 {
         std::fs::remove_dir_all(dir).context("remove the logs")?;
--- a/examples/soak/scenarios.rs
+++ b/examples/soak/scenarios.rs
@@ -13,6 +13,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::Plan;
+use crate::balancer::Balancer;
 use crate::callers::{Caller, CallerContext, GENERATION_TIMEOUT};
 use crate::environment::{ENGINE_PACE, SERVICES, SOFTWARE_VERSIONS, lock};
 use crate::faults::Injector;
@@ -108,6 +109,17 @@
 /// Factor by which they are slower.
 pub(crate) const SLOWDOWN: std::ops::Range<f64> = 1.2..2.5;
 
+/// Time without a disruption before a single stop, and then until its signal.
+const CALM_TIME: Duration = Duration::from_millis(3_500);
+const STOP_DELAY: Duration = Duration::from_secs(1);
+
+/// Requests that are sent to a gateway in a single stop, and their times after the signal, in milliseconds.
+const LATE_REQUESTS: u32 = 40;
+const LATE_MS: std::ops::Range<u64> = 0..7_600;
+
+/// Factor by which engines are slower from a time in a single stop on.
+const LATE_SLOWDOWN: std::ops::Range<f64> = 1.0..8.0;
+
 /// Indices of injectors that take the steps of series; they distinguish their seeds.
 const SERIES_INDICES: std::ops::Range<u64> = 1_000..1_000_000_000;
 
@@ -136,10 +148,20 @@
     /// Gateways get SIGTERM at any time, several of them together, beside signals and changes; all callers
     /// connect through a load balancer, and generations differ in length.
     Stops,
+    /// One gateway after the other gets SIGTERM, with calm between; requests are sent to it until its exit, and engines
+    /// may slow down.
+    SingleStops,
+}
+
+impl Scenario {
+    /// Returns whether graceful stops are what it tests.
+    pub(crate) fn tests_stops(self) -> bool {
+        matches!(self, Self::Stops | Self::SingleStops)
+    }
 }
 
 /// All scenarios by the names that the command line uses.
-const NAMES: [(&str, Scenario); 9] = [
+const NAMES: [(&str, Scenario); 10] = [
     ("series", Scenario::Series),
     ("retry-after", Scenario::RetryAfter),
     ("leaving", Scenario::Leaving),
@@ -149,6 +171,7 @@
     ("versions", Scenario::Versions),
     ("odd-entries", Scenario::OddEntries),
     ("stops", Scenario::Stops),
+    ("single-stops", Scenario::SingleStops),
 ];
 
 /// Scenarios that a seed draws unless the command line names others, by the seed modulo
@@ -198,16 +221,24 @@
     cx: Arc<CallerContext>,
     scenario: Scenario,
     plan: Plan,
+    /// Load balancer of the callers, if graceful stops are tested.
+    balancer: Option<Arc<Balancer>>,
     rng: StdRng,
     log: Vec<String>,
 }
 
 impl ScenarioPlayer {
-    pub(crate) fn new(cx: Arc<CallerContext>, scenario: Scenario, plan: &Plan) -> Self {
+    pub(crate) fn new(
+        cx: Arc<CallerContext>,
+        scenario: Scenario,
+        plan: &Plan,
+        balancer: Option<Arc<Balancer>>,
+    ) -> Self {
         Self {
             cx,
             scenario,
             plan: plan.clone(),
+            balancer,
             rng: StdRng::seed_from_u64(plan.seed ^ ((scenario as u64 + 1) << 32)),
             log: Vec::new(),
         }
@@ -228,6 +259,7 @@
                 Scenario::Versions => self.replace_versions().await?,
                 Scenario::OddEntries => self.write_odd_entries().await,
                 Scenario::Stops => self.stop_gateways().await?,
+                Scenario::SingleStops => self.stop_one_gateway().await?,
             };
             self.log.push(format!("{at:.2} s: {description}"));
         }
@@ -444,6 +476,42 @@
         Ok(descriptions.join("; "))
     }
 
+    /// Stops one gateway while late requests arrive at it, and waits until all is calm again.
+    async fn stop_one_gateway(&mut self) -> anyhow::Result<String> {
+        tokio::time::sleep(CALM_TIME).await;
+        let gateway = self.rng.random_range(0..self.cx.environment.gateways.len());
+        let stop = self
+            .injector_beside_stops()
+            .stop_once_later(gateway, STOP_DELAY);
+        let stopped_at = Instant::now() + STOP_DELAY;
+        let mut late = JoinSet::new();
+        if let Some(balancer) = &self.balancer {
+            for _ in 0..LATE_REQUESTS {
+                let (cx, seed) = (self.cx.clone(), self.rng.random());
+                let caller = Caller::behind(cx, seed, balancer.clone());
+                let after = Duration::from_millis(self.rng.random_range(LATE_MS));
+                late.spawn(caller.send_late(gateway, stopped_at + after));
+            }
+        }
+        let slowdown = self.rng.random_range(LATE_SLOWDOWN);
+        let slows_at = Duration::from_millis(self.rng.random_range(LATE_MS));
+        let slow_down = async {
+            tokio::time::sleep_until((stopped_at + slows_at).into()).await;
+            let slow = EnginePace {
+                slowdown,
+                ..ENGINE_PACE
+            };
+            self.cx.environment.set_pace(slow);
+        };
+        let (description, ()) = tokio::join!(stop, slow_down);
+        self.cx.environment.set_pace(ENGINE_PACE);
+        late.join_all().await;
+        Ok(format!(
+            "{}; engines slower by {slowdown:.1} after {slows_at:?}",
+            description?
+        ))
+    }
+
     fn injector_beside_stops(&mut self) -> Injector {
         let (environment, ledger) = (self.cx.environment.clone(), self.cx.ledger.clone());
         let index = self.rng.random_range(SERIES_INDICES);
