Admit in a stop only what has all of its time before the exit

Callers saw generations that arrived late in a planned stop, or whose body ended late, cut at the exit of the gateway, among them ones that nobody can resume, and calls that got 502 up to 180 ms before their time was over.

Cause: a generation was admitted by the pace of others, which is an estimate. Its engine may slow down after that. Calls were compared with the exit, although open ones are refused 200 ms earlier. The class is an estimate in place of a bound.

Change: only the deadline of the caller or of the route bounds a request, of any kind, and it has to end before open requests are refused. It is asked on arrival and before each send. The check after the first event of a generation, which answered 502 after it had run, is no longer needed. GenerationPace::longest and Shutdown::can_end_generation have no user left and are removed with the tests of their estimates.

--- a/crates/cactusbarrow_gateway/src/generation.rs
+++ b/crates/cactusbarrow_gateway/src/generation.rs
@@ -77,12 +77,7 @@
     if !stream.can_complete() {
         return stream.refusal(Reason::Expired);
     }
-    let first = stream.next().await;
-    // An engine that reads the prompt slowly leaves too little time for the rest.
-    if matches!(first, GenerationItem::Event(_)) && !stream.rest_ends_before_exit() {
-        return stream.refusal(Reason::ShuttingDown);
-    }
-    first
+    stream.next().await
 }
 
 fn refuse<C: Clock>(stream: &mut GenerationStream<C>, refusal: &Refusal) -> Response<Body> {
--- a/crates/cactusbarrow_gateway/src/generation/stream.rs
+++ b/crates/cactusbarrow_gateway/src/generation/stream.rs
@@ -263,11 +263,6 @@
         )
     }
 
-    /// Returns whether the generation, whose first event has arrived, ends before the process exits.
-    pub(crate) fn rest_ends_before_exit(&self) -> bool {
-        self.req.rest_ends_before_exit()
-    }
-
     /// Returns the size of the generation as the caller requested it.
     fn size(&self) -> GenerationSize {
         generation_size(&self.req.caller)
--- a/crates/cactusbarrow_gateway/src/request.rs
+++ b/crates/cactusbarrow_gateway/src/request.rs
@@ -86,30 +86,10 @@
         self.deadline.saturating_duration_since(self.shared.now())
     }
 
-    /// Returns whether a generation whose first event has arrived ends before the process exits.
-    ///
-    /// One that arrived before the shutdown goes on in any case: its caller can resume it.
-    pub(crate) fn rest_ends_before_exit(&self) -> bool {
-        let shared = &self.shared;
-        if !shared.shutdown().had_begun_at(self.arrived) {
-            return true;
-        }
-        let size = generation_size(&self.caller);
-        let longest = shared.pace().longest(&self.route, &size, true);
-        let longest = longest.unwrap_or_default().min(self.time_left());
-        shared.shutdown().can_end(shared.now(), longest)
-    }
-
-    /// Returns whether the request ends before the process exits, if it is sent to a backend server now.
+    /// Returns whether the request has all of its time before the process exits, if it is sent to a backend server now.
     pub(crate) fn ends_before_exit(&self) -> bool {
-        let time_left = self.time_left();
-        ends_before_exit(
-            &self.shared,
-            &self.route,
-            self.kind,
-            &self.caller,
-            time_left,
-        )
+        let now = self.shared.now();
+        self.shared.shutdown().can_end(now, self.time_left())
     }
 }
 
@@ -177,7 +157,7 @@
     let (route, customer) = resolve_route(&config, &caller)?;
     let deadline = arrived + timeout.min(route.timeout);
     let time_left = deadline.saturating_duration_since(shared.now());
-    if !ends_before_exit(shared, &route.name, route.kind, &caller, time_left) {
+    if !shared.shutdown().can_end(shared.now(), time_left) {
         return Err(Refusal::not_run(
             Reason::ShuttingDown,
             shutdown_retry_after(shared),
@@ -207,32 +187,6 @@
     })
 }
 
-/// Returns whether a request ends before the process exits, if it is sent to a backend server now.
-///
-/// A call ends when its caller or route gives up at the latest. Most generations end long before, so these are
-/// judged by the pace of their route.
-fn ends_before_exit<C: Clock>(
-    shared: &Shared<C>,
-    route: &str,
-    kind: RequestKind,
-    caller: &CallerRequest,
-    time_left: Duration,
-) -> bool {
-    if !shared.shutdown().has_begun() {
-        return true;
-    }
-    let now = shared.now();
-    if !kind.is_generation() {
-        return shared.shutdown().can_end(now, time_left);
-    }
-    let longest = shared
-        .pace()
-        .longest(route, &generation_size(caller), false);
-    shared
-        .shutdown()
-        .can_end_generation(now, longest, time_left)
-}
-
 /// Returns the size of a generation as its caller requested it.
 pub(crate) fn generation_size(caller: &CallerRequest) -> GenerationSize {
     GenerationSize {
--- a/crates/cactusbarrow_policy/src/generation_pace.rs
+++ b/crates/cactusbarrow_policy/src/generation_pace.rs
@@ -3,9 +3,6 @@
 //! Load pattern: all hosts lose power at the same moment. Callers notice the half-open
 //! connections many seconds later and reconnect together, with little of their time left.
 //! Reading prompts for callers that can no longer be served in time delays all others.
-//!
-//! Load pattern: a host is stopped while callers still reach it, and generations differ in length.
-//! One that does not end before the process exits has to go to another host.
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -28,22 +25,6 @@
 /// engine reads a prompt faster than the average.
 const MIN_READ_TIME_SHARE: f64 = 0.8;
 
-/// Weight of the newest generation in the mean deviation from the expected duration; it is larger than
-/// [`NEWEST_WEIGHT`], so that a pace that has just changed counts at once.
-const NEWEST_DEVIATION_WEIGHT: f64 = 0.25;
-
-/// Mean deviation that is assumed of a route at its first generation.
-const INITIAL_DEVIATION: f64 = 0.5;
-
-/// Number of mean deviations by which a generation may exceed its expected duration.
-const DEVIATIONS: f64 = 4.0;
-
-/// Smallest share of the expected duration by which a generation is assumed to exceed it.
-const MIN_EXCESS: f64 = 0.25;
-
-/// Time by which a generation is assumed to exceed its expected duration, whatever its size.
-const FIXED_EXCESS: Duration = Duration::from_millis(250);
-
 /// Number of recorded routes from which stale ones are removed: each takes about 100 bytes,
 /// and configuration changes keep introducing new ones.
 const ROUTES_BEFORE_CLEANUP: usize = 1_024;
@@ -85,37 +66,6 @@
     events_per_token: f64,
     /// Time between two events, in seconds.
     event_interval_secs: f64,
-    /// Duration of a generation in relation to the expected one.
-    duration_ratio: f64,
-    /// Mean deviation of that ratio.
-    ratio_deviation: f64,
-}
-
-impl RoutePace {
-    /// Returns the expected time until the first event, and from there to the last one, in seconds.
-    fn expected_secs(&self, size: &GenerationSize) -> (f64, f64) {
-        let read = self.read_secs_per_token * size.prompt_tokens.max(1) as f64;
-        let events = self.events_per_token * size.output_tokens.max(1) as f64;
-        let missing = (events - size.last_event as f64).max(0.0);
-        (read, missing * self.event_interval_secs)
-    }
-
-    fn record_ratio(&mut self, times: &GenerationTimes) {
-        let (read, write) = self.expected_secs(&times.size);
-        let took = times.end.saturating_duration_since(times.arrived);
-        let ratio = took.as_secs_f64() / (read + write).max(f64::MIN_POSITIVE);
-        let deviation = (ratio - self.duration_ratio).abs();
-        self.duration_ratio += NEWEST_WEIGHT * (ratio - self.duration_ratio);
-        self.ratio_deviation += NEWEST_DEVIATION_WEIGHT * (deviation - self.ratio_deviation);
-    }
-
-    /// Returns the time that a generation is assumed to take at most, in seconds.
-    fn longest_secs(&self, size: &GenerationSize, is_prompt_read: bool) -> f64 {
-        let (read, write) = self.expected_secs(size);
-        let read = if is_prompt_read { 0.0 } else { read };
-        let excess = (DEVIATIONS * self.ratio_deviation).max(MIN_EXCESS);
-        (read + write) * (self.duration_ratio + excess) + FIXED_EXCESS.as_secs_f64()
-    }
 }
 
 /// Average pace of the recently completed generations, by route.
@@ -145,14 +95,11 @@
             read_secs_per_token,
             events_per_token,
             event_interval_secs,
-            duration_ratio: 1.0,
-            ratio_deviation: INITIAL_DEVIATION,
         });
         pace.samples = pace.samples.saturating_add(1);
         pace.newest = times.end;
         // A resumed generation mostly finds its prompt cached.
         if times.size.last_event == 0 {
-            pace.record_ratio(times);
             pace.read_secs_per_token +=
                 NEWEST_WEIGHT * (read_secs_per_token - pace.read_secs_per_token);
         }
@@ -185,23 +132,6 @@
         let missing = (events - size.last_event as f64).max(0.0);
         time_left.as_secs_f64() > read + missing * pace.event_interval_secs
     }
-
-    /// Returns the time that a generation of a route is assumed to take at most; `None` if too few of the route
-    /// have completed to tell.
-    ///
-    /// `is_prompt_read` tells whether its first event has arrived. A cached prompt counts as unread: the
-    /// engine that has it may decline the generation.
-    pub fn longest(
-        &self,
-        route: &str,
-        size: &GenerationSize,
-        is_prompt_read: bool,
-    ) -> Option<Duration> {
-        let pace = self.routes.get(route);
-        let pace = pace.filter(|pace| pace.samples >= MIN_SAMPLES)?;
-        let longest = pace.longest_secs(size, is_prompt_read);
-        Some(Duration::try_from_secs_f64(longest).unwrap_or(Duration::MAX))
-    }
 }
 
 fn is_fresh(pace: &RoutePace, now: Instant) -> bool {
--- a/crates/cactusbarrow_policy/src/operator_config.rs
+++ b/crates/cactusbarrow_policy/src/operator_config.rs
@@ -40,11 +40,6 @@
         )
     }
 
-    /// Returns whether the response is a stream of events.
-    pub fn is_generation(self) -> bool {
-        matches!(self, Self::Generation { .. })
-    }
-
     /// Returns a short name for logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
--- a/crates/cactusbarrow_policy/src/shutdown.rs
+++ b/crates/cactusbarrow_policy/src/shutdown.rs
@@ -59,11 +59,6 @@
         self.started_at.is_some()
     }
 
-    /// Returns whether the shutdown had begun at a time.
-    pub fn had_begun_at(&self, at: Instant) -> bool {
-        self.started_at.is_some_and(|started_at| started_at <= at)
-    }
-
     /// Returns the time until the host is out of the load balancer's rotation; zero if the
     /// shutdown has not begun.
     pub fn rotation_time_left(&self, now: Instant) -> Duration {
@@ -87,23 +82,11 @@
         time_left.saturating_sub(self.cfg.refusal_reserve)
     }
 
-    /// Returns whether work that takes at most `longest` ends before the exit; it is asked before a request is
-    /// sent to a backend server.
-    pub fn can_end(&self, now: Instant, longest: Duration) -> bool {
-        !self.has_begun() || self.time_left(now) >= longest
-    }
-
-    /// Returns whether a generation ends before the exit, given the time that it takes at most by the pace of its
-    /// route, if that is known, and the time until its caller gives up.
+    /// Returns whether a request has all of its time before open ones are refused; `time_left` is the time until its
+    /// caller or route gives up. It is asked on arrival and before each send.
     ///
-    /// Without a measured pace only the caller bounds it, as in a process that has just started.
-    pub fn can_end_generation(
-        &self,
-        now: Instant,
-        longest: Option<Duration>,
-        caller_time_left: Duration,
-    ) -> bool {
-        let longest = longest.map_or(caller_time_left, |longest| longest.min(caller_time_left));
-        self.can_end(now, longest)
+    /// Nothing else bounds a request: how long others took says nothing certain about it.
+    pub fn can_end(&self, now: Instant, time_left: Duration) -> bool {
+        !self.has_begun() || self.refusal_time_left(now) >= time_left
     }
 }
