Refuse requests that wait when a stop begins in which they cannot be served

Callers of a stopping gateway that was waiting for their body, an engine or a configuration heard only later, for a body up to the end of the grace period, that they have to go elsewhere.

Cause: whether a request still has all of its time was asked on arrival and before each send, not when the shutdown began. Change: what waits is told of the begin, and refused at once as not run if its deadline outlasts the exit. The wait for a configuration is covered, too.

--- a/crates/cactusbarrow_gateway/src/generation/stream/waiting.rs
+++ b/crates/cactusbarrow_gateway/src/generation/stream/waiting.rs
@@ -42,13 +42,16 @@
         let shared = &self.req.shared;
         let delay = WAIT_BACKOFF.delay(self.wait_count, &mut *shared.rng());
         self.wait_count += 1;
-        let may_be_deadly = self.last_event_at.is_none();
+        let has_not_begun = self.last_event_at.is_none();
         let refused = quarantine::wait_until_refused(shared, &self.parts);
         tokio::select! {
             () = tokio::time::sleep(delay.min(self.req.time_left())) => {}
-            () = refused, if may_be_deadly => {
+            () = refused, if has_not_begun => {
                 return Some(self.refusal(Reason::QuarantinedPrompt));
             }
+            () = shared.wait_until_too_late(self.req.deadline), if has_not_begun => {
+                return Some(self.refusal(Reason::ShuttingDown));
+            }
         }
         if wait.needs_retry && !shared.try_retry(&self.req.service) {
             self.wait = Some(wait);
--- a/crates/cactusbarrow_gateway/src/request.rs
+++ b/crates/cactusbarrow_gateway/src/request.rs
@@ -151,17 +151,19 @@
         let wait = retry_after(timeout, &mut *shared.rng());
         Refusal::not_run(reason, wait)
     };
-    let Some(config) = shared.wait_for_config(timeout).await else {
-        return Err(refuse_with_retry(Reason::NoConfiguration));
+    let config = tokio::select! {
+        biased;
+        config = shared.wait_for_config(timeout) => config,
+        () = shared.wait_until_too_late(arrived + timeout) => {
+            return Err(shutdown_refusal(shared));
+        }
     };
+    let config = config.ok_or_else(|| refuse_with_retry(Reason::NoConfiguration))?;
     let (route, customer) = resolve_route(&config, &caller)?;
     let deadline = arrived + timeout.min(route.timeout);
     let time_left = deadline.saturating_duration_since(shared.now());
     if !shared.shutdown().can_end(shared.now(), time_left) {
-        return Err(Refusal::not_run(
-            Reason::ShuttingDown,
-            shutdown_retry_after(shared),
-        ));
+        return Err(shutdown_refusal(shared));
     }
     let service = route.draw_service(&mut *shared.rng()).cloned();
     let service = service.ok_or_else(|| refuse_with_retry(Reason::NoSuchService))?;
@@ -196,6 +198,11 @@
     }
 }
 
+/// Returns the refusal of a request that has not run and may not end before the process exits.
+fn shutdown_refusal<C: Clock>(shared: &Shared<C>) -> Refusal {
+    Refusal::not_run(Reason::ShuttingDown, shutdown_retry_after(shared))
+}
+
 /// Returns the time after which the load balancer sends callers to other gateways.
 pub(crate) fn shutdown_retry_after<C: Clock>(shared: &Shared<C>) -> Duration {
     let now = shared.now();
@@ -253,9 +260,8 @@
     let result = tokio::select! {
         biased;
         result = tokio::time::timeout(time_left, body) => result,
-        () = shared.exit().cancelled() => {
-            return Err(Refusal::not_run(Reason::ShuttingDown, SHUTDOWN_RETRY_MARGIN));
-        }
+        () = shared.wait_until_too_late(deadline) => return Err(shutdown_refusal(shared)),
+        () = shared.exit().cancelled() => return Err(shutdown_refusal(shared)),
     };
     match result {
         Ok(Ok(Some(body))) => Ok(body),
--- a/crates/cactusbarrow_gateway/src/shared.rs
+++ b/crates/cactusbarrow_gateway/src/shared.rs
@@ -166,6 +166,8 @@
     list_permits: Arc<Semaphore>,
     store_health: Mutex<StoreAvailability>,
     shutdown: Mutex<Shutdown>,
+    /// Cancelled when the shutdown begins.
+    stopping: CancellationToken,
     /// Cancelled shortly before the process exits.
     exit: CancellationToken,
     pace: Mutex<GenerationPace>,
@@ -241,6 +243,7 @@
             retry_windows: Mutex::default(),
             rng: Mutex::new(StdRng::from_rng(&mut rand::rng())),
             shutdown: Mutex::new(shutdown),
+            stopping: CancellationToken::new(),
             exit: CancellationToken::new(),
             pace: Mutex::default(),
             last_search: LastSearch::default(),
@@ -336,6 +339,28 @@
         lock(&self.shutdown)
     }
 
+    /// Begins the shutdown, and returns the time until the host is out of the load balancer's rotation.
+    pub(crate) fn begin_shutdown(&self) -> Duration {
+        let now = self.now();
+        let mut shutdown = self.shutdown();
+        shutdown.begin(now);
+        let rotation_time_left = shutdown.rotation_time_left(now);
+        drop(shutdown);
+        self.stopping.cancel();
+        rotation_time_left
+    }
+
+    /// Waits until the shutdown has begun and a request with this deadline may not end before the process exits; waits
+    /// forever if it does end.
+    pub(crate) async fn wait_until_too_late(&self, deadline: Instant) {
+        self.stopping.cancelled().await;
+        let now = self.now();
+        let time_left = deadline.saturating_duration_since(now);
+        if self.shutdown().can_end(now, time_left) {
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Returns the token that is cancelled when open requests must be answered, since the process
     /// exits.
     pub(crate) fn exit(&self) -> &CancellationToken {
--- a/crates/cactusbarrow_gateway/src/start.rs
+++ b/crates/cactusbarrow_gateway/src/start.rs
@@ -137,12 +137,7 @@
     ///
     /// Returns whether all connections ended before the process has to exit.
     pub async fn stop(self) -> bool {
-        let rotation_delay = {
-            let now = self.shared.now();
-            let mut shutdown = self.shared.shutdown();
-            shutdown.begin(now);
-            shutdown.rotation_time_left(now)
-        };
+        let rotation_delay = self.shared.begin_shutdown();
         self.listener_stop.leaving.cancel();
         log::info!(connections = self.connections.len(); "leaving the load balancer's rotation");
         tokio::time::sleep(rotation_delay).await;
--- a/crates/cactusbarrow_gateway/tests/shutdown_end.rs
+++ b/crates/cactusbarrow_gateway/tests/shutdown_end.rs
@@ -77,6 +77,42 @@
     assert!(stop.await, "all connections ended");
 }
 
+/// Guards against requests that wait, and are refused only at the end of a stop in which they could not be served.
+#[tokio::test]
+async fn requests_that_wait_are_refused_when_a_stop_begins() {
+    let cluster = TestCluster::start(1).await;
+    cluster.store.put("op/config", &config_with_long_timeouts());
+    let gateway = cluster.one_gateway().await;
+    cluster
+        .apps
+        .iter()
+        .for_each(|app| app.set_fault(Some(Fault::Hang)));
+    cluster.engines[0].set_retry_after(Some("30"));
+    let mut open = send_part(gateway.addr, "call", "/write/1", "the body").await;
+    let mut conns = [
+        send_part(gateway.addr, "body", "/stream/1", "part").await,
+        send_part(gateway.addr, "engine", "/stream/1", "the body").await,
+    ];
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    tokio::spawn(gateway.handle.stop());
+    let waiting = async {
+        let mut lines = Vec::new();
+        for conn in &mut conns {
+            lines.push(status_line(conn).await);
+        }
+        lines
+    };
+    let lines = tokio::select! {
+        biased;
+        line = status_line(&mut open) => panic!("they wait as long as an open call: {line}"),
+        lines = waiting => lines,
+    };
+    for line in lines {
+        assert!(line.starts_with("HTTP/1.1 503"), "{line}");
+    }
+    assert_eq!(cluster.run_count("body") + cluster.run_count("engine"), 0);
+}
+
 const EVENT_INTERVAL: Duration = Duration::from_millis(60);
 
 /// Time of the stop at which a request arrives that keeps the gateway from ending early.
