--- a/examples/soak/checks.rs
+++ b/examples/soak/checks.rs
@@ -7,7 +7,7 @@
 
 use crate::callers::DEADLY_ID_PREFIX;
 use crate::environment::{Environment, InstanceRecord, PERMANENT_KEY};
-use crate::ledger::{Attempt, Ledger, Scope};
+use crate::ledger::{Attempt, Ledger, RequestKind, Scope};
 use crate::scenario_checks::Observations;
 
 /// Longest time after its drain began that a server may still get work.
@@ -252,6 +252,7 @@
     let mut kinds_without_promise = ["probe-", "key-", DEADLY_ID_PREFIX].into_iter();
     let is_probe = kinds_without_promise.any(|prefix| id.starts_with(prefix));
     let is_excused = is_probe
+        || is_body_late(attempt)
         || is_excused_by_pause(ledger, attempt, environment)
         // The rest of the caller's time does not suffice.
         || attempt.timeout < attempt.needed;
@@ -266,6 +267,14 @@
     }
 }
 
+/// Returns whether a call was refused since its caller sent the body for longer than its route waits.
+fn is_body_late(attempt: &Attempt) -> bool {
+    let deadline = attempt.sent_at + CALL_ROUTE_TIMEOUT;
+    attempt.kind == RequestKind::Booking
+        && attempt.ended_at >= deadline
+        && attempt.sent_whole_at.is_none_or(|at| at >= deadline)
+}
+
 /// Returns whether an attempt could not succeed because backend servers were paused.
 fn is_excused_by_pause(ledger: &Ledger, attempt: &Attempt, environment: &Environment) -> bool {
     let mut backends = environment.backends_of_service(attempt.service);
