Refuse work that waits in a router when its stop begins

Callers of a router that stops, whose generation or call waited for a free slot, heard only at the exit that it is lost, as unknown, or their work was started late and cut.

Admission was judged on arrival only. Change: a generation without output leaves the queue when the stop begins and is refused as not run, as nothing bounds its time; calls are judged by their deadline before each send. Generations with output still go on.

--- a/crates/cactusbarrow_router/src/calls.rs
+++ b/crates/cactusbarrow_router/src/calls.rs
@@ -78,9 +78,7 @@
         .query()
         .map_or_else(String::new, |q| format!("?{q}"));
     let caller_timeout = Duration::from_secs(u64::from(service.caller_patience_seconds));
-    let now = router.clock.now();
-    let time_left = (arrived + caller_timeout).saturating_duration_since(now);
-    if !router.shutdown().can_end(now, time_left) {
+    if !ends_before_exit(router, arrived + caller_timeout) {
         return Err(Refusal::new(outcome, Reason::ShuttingDown, "admit call"));
     }
     let _permit = CustomerPermit::admit(router, customer)
@@ -101,6 +99,16 @@
     }
 }
 
+/// Returns whether a call with this deadline has all of its time before the process exits.
+fn ends_before_exit<S: Store + HostList, C: Clock>(
+    router: &Router<S, C>,
+    deadline: Instant,
+) -> bool {
+    let now = router.clock.now();
+    let time_left = deadline.saturating_duration_since(now);
+    router.shutdown().can_end(now, time_left)
+}
+
 /// Repeats a call until the service responds, within the caller's deadline and the retry budget.
 async fn call_repeatable<S: Store + HostList, C: Clock>(
     router: &Arc<Router<S, C>>,
@@ -133,6 +141,9 @@
         back_off(retries).await;
         retries += 1;
     }
+    if !ends_before_exit(router, call.deadline) {
+        last_reason = Reason::ShuttingDown;
+    }
     let outcome = if may_have_run {
         Outcome::Unknown
     } else {
@@ -142,14 +153,14 @@
 }
 
 /// Selects the server for the next attempt, waiting while none has a free slot; `None` once the
-/// caller's deadline has passed.
+/// caller's deadline has passed, or if the call may not end before the process exits.
 async fn select_server<S: Store + HostList, C: Clock>(
     router: &Router<S, C>,
     call: &ServiceCall<'_>,
     excluded: &mut Vec<String>,
     retries: &mut u32,
 ) -> Option<Arc<MemberServer>> {
-    while router.clock.now() < call.deadline {
+    while router.clock.now() < call.deadline && ends_before_exit(router, call.deadline) {
         let any_server = BalancingRequest::default();
         let server = router.choose(&call.service.name, None, any_server, excluded);
         if server.is_some() {
@@ -221,6 +232,9 @@
         back_off(retries).await;
         retries += 1;
     }
+    if !ends_before_exit(router, call.deadline) {
+        last_reason = Reason::ShuttingDown;
+    }
     // No attempt was run, and the claim prevented any other router from running the call.
     router.release(&claim);
     Err(Refusal::new(Outcome::NotRun, last_reason, "call service"))
--- a/crates/cactusbarrow_router/src/generation_driver.rs
+++ b/crates/cactusbarrow_router/src/generation_driver.rs
@@ -270,12 +270,22 @@
             metrics::counter!("cactusbarrow_resumes_total", "reason" => reason).increment(1);
         }
         let is_resume = prefix > 0;
+        if self.is_too_late(prefix) {
+            self.report_not_started(attempt, AttemptEnd::Shed(Reason::ShuttingDown));
+            return;
+        }
         let must_wait = !is_resume && self.router.has_queue(&self.req.service);
         if must_wait || !self.launch(attempt, prefix) {
             self.enqueue(attempt, is_resume);
         }
     }
 
+    /// Returns whether an attempt may outlast the process: nothing bounds the time that it takes. One that goes on
+    /// after a prefix is started all the same.
+    fn is_too_late(&self, prefix: usize) -> bool {
+        prefix == 0 && self.router.stopping.is_cancelled()
+    }
+
     /// Starts an attempt at a backend server; returns false if none has a free slot.
     fn launch(&mut self, attempt: AttemptNumber, prefix: usize) -> bool {
         let template = &self.req.template;
@@ -343,10 +353,18 @@
             return;
         };
         let tx = self.tx.clone();
+        let stopping = self.router.stopping.clone();
         let wait = async move {
-            if queued_request.wait().await {
-                // The send fails only if the driver has ended; the grant is then not needed.
-                let _ = tx.send((attempt, AttemptEvent::Granted)).await;
+            let event = tokio::select! {
+                is_granted = queued_request.wait() => is_granted.then_some(AttemptEvent::Granted),
+                () = stopping.cancelled(), if !is_resume => Some(AttemptEvent::Ended {
+                    length: 0,
+                    end: AttemptEnd::Shed(Reason::ShuttingDown),
+                }),
+            };
+            if let Some(event) = event {
+                // The send fails only if the driver has ended; a grant is then not needed.
+                let _ = tx.send((attempt, event)).await;
             }
         };
         let task = self.router.tasks.spawn(wait).abort_handle();
@@ -362,6 +380,10 @@
         }
         self.queued = None;
         let prefix = self.state_machine.accepted().len();
+        if self.is_too_late(prefix) {
+            self.report_not_started(attempt, AttemptEnd::Shed(Reason::ShuttingDown));
+            return true;
+        }
         if self.launch(attempt, prefix) {
             // More than one slot may be free.
             self.router.grant_next(&self.req.service);
--- a/crates/cactusbarrow_router/src/router.rs
+++ b/crates/cactusbarrow_router/src/router.rs
@@ -43,6 +43,8 @@
     pub(crate) leaving: LeavingServers,
     pub(crate) queues: ServiceQueues,
     pub(crate) stop: CancellationToken,
+    /// Cancelled when the shutdown begins.
+    pub(crate) stopping: CancellationToken,
     pub(crate) abort_streams: CancellationToken,
     pub(crate) tasks: TaskTracker,
     members: RwLock<Arc<Members>>,
@@ -71,6 +73,7 @@
             claims: ClaimShards::new(cfg.claims),
             leaving: LeavingServers::default(),
             queues: ServiceQueues::new(cfg.queue_order),
+            stopping: CancellationToken::new(),
             abort_streams: stop.child_token(),
             tasks: TaskTracker::new(),
             members: RwLock::default(),
--- a/crates/cactusbarrow_router/src/run.rs
+++ b/crates/cactusbarrow_router/src/run.rs
@@ -140,6 +140,7 @@
         (stop.refusal_time_left(now), stop.time_left(now))
     };
     log::info!("shutting down; draining");
+    router.stopping.cancel();
     close.cancel();
     let abort = async {
         tokio::time::sleep(abort_after).await;
--- a/tests/drains.rs
+++ b/tests/drains.rs
@@ -15,6 +15,7 @@
 use log::kv::{Key, Value, VisitSource};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
 /// Drain time-out of the tests, after which the processes are killed.
@@ -26,6 +27,8 @@
 const START_TIME: Duration = Duration::from_millis(400);
 const TIMEOUT: Duration = Duration::from_secs(20);
 const RETRY_INTERVAL: Duration = Duration::from_millis(5);
+/// Slots of the cluster's plain service.
+const SERVICE_SLOTS: u32 = 64;
 
 /// Lines that the processes of this test have logged.
 static LINES: Mutex<Vec<String>> = Mutex::new(Vec::new());
@@ -248,3 +251,51 @@
     stop.await.expect("the router stops");
     drop(process);
 }
+
+/// Work that waited for a free slot when a router's stop began was told only at the exit that it was not run, or
+/// was started late and cut.
+#[tokio::test(flavor = "multi_thread")]
+async fn work_that_waits_in_a_router_is_refused_when_its_stop_begins() {
+    record_lines();
+    let mut cfg = cluster_config();
+    cfg.engines = 1;
+    cfg.engine.slots = 1;
+    let mut cluster = Cluster::start(cfg).await;
+    let RouterProcess {
+        handle, process, ..
+    } = cluster.routers.remove(0);
+    let router = handle.listen;
+    open_endless_stream(router, 4).await;
+    let send = async |head: &str, body: &str| {
+        let mut conn = TcpStream::connect(router).await.expect("connect");
+        exchange(&mut conn, head, body).await
+    };
+    let body = Cluster::completion_body("a waiting deposition", 5, 10);
+    let mut calls = JoinSet::new();
+    for i in 0..SERVICE_SLOTS {
+        let mut conn = TcpStream::connect(router).await.expect("connect");
+        calls.spawn(async move { exchange(&mut conn, &format!("POST /bookings/{i}"), "").await });
+    }
+    let started = tokio::time::timeout(START_TIME, calls.join_next()).await;
+    assert!(started.is_err(), "the calls are open");
+    let mut waiting = std::pin::pin!(async {
+        tokio::join!(
+            send("POST /v1/completions", &body),
+            send("POST /bookings/waiting", ""),
+        )
+    });
+    let queued = tokio::time::timeout(START_TIME, &mut waiting).await;
+    assert!(queued.is_err(), "no slot is free: {queued:?}");
+    let stop = tokio::spawn(handle.stop());
+    let (generation, call) = tokio::select! {
+        biased;
+        open = calls.join_next() => panic!("they wait as long as an open call: {open:?}"),
+        refused = &mut waiting => refused,
+    };
+    for response in [generation, call] {
+        assert!(response.contains("\"shutting_down\""), "{response}");
+        assert!(response.contains("\"not_run\""), "{response}");
+    }
+    stop.await.expect("the router stops");
+    drop(process);
+}
