Send refused callers of a stopping gateway where another one serves

Callers that a stopping gateway refused waited for up to 2.35 s, until it had left rotation, also if the next gateway of the zone would have taken them at once. Past that time they came back after 50 ms, also while all gateways stopped.

Cause: a gateway did not know which others stop. Change: heartbeats tell the zone of their sender and the time until its exit. Retry-After is 50 ms while at least half of the other gateways of the zone serve; the time until the zone has left rotation if only other zones serve; and the time until the first one is back if none serves, or few of the zone do. Callers are spread over up to half a second of longer waits. Six to ten bytes in each heartbeat.

--- a/crates/cactusbarrow_gateway/src/call.rs
+++ b/crates/cactusbarrow_gateway/src/call.rs
@@ -15,7 +15,7 @@
 use crate::backend_connection::{BackendConnection, log_foreign_response, loss_cause};
 use crate::quarantine::{self, BrokenAttempt};
 use crate::refusal::Refusal;
-use crate::request::{AdmittedRequest, count_refusal, shutdown_retry_after};
+use crate::request::{AdmittedRequest, count_refusal, draw_shutdown_retry};
 
 /// Size of the largest response, which is held in memory until it is complete.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
@@ -359,7 +359,7 @@
 ) -> Refusal {
     match outcome {
         Outcome::NotRun if reason == Reason::ShuttingDown => {
-            Refusal::not_run(reason, shutdown_retry_after(&req.shared))
+            Refusal::not_run(reason, draw_shutdown_retry(&req.shared))
         }
         Outcome::NotRun => {
             let wait = req.backoff_wait(&[]);
--- a/crates/cactusbarrow_gateway/src/generation/stream.rs
+++ b/crates/cactusbarrow_gateway/src/generation/stream.rs
@@ -19,7 +19,7 @@
 
 use super::attempt::{Attempt, AttemptItem, AttemptTarget, OpenResult, RunningAttempt};
 use super::copy_manager::Holder;
-use crate::request::{AdmittedRequest, generation_size, shutdown_retry_after};
+use crate::request::{AdmittedRequest, draw_shutdown_retry, generation_size};
 use crate::stream_origins;
 use crate::{prompt_search, quarantine};
 use starting::StartingAttempt;
@@ -279,7 +279,7 @@
     /// Draws the delay after which the caller may retry a generation that was refused for `reason`.
     pub(crate) fn retry_after(&self, reason: Reason) -> Duration {
         if reason == Reason::ShuttingDown {
-            return shutdown_retry_after(&self.req.shared);
+            return draw_shutdown_retry(&self.req.shared);
         }
         let backoff_wait = self.req.backoff_wait(&[]);
         let limit_wait = || self.req.limit_wait(self.plan.excluded());
--- a/crates/cactusbarrow_gateway/src/peers.rs
+++ b/crates/cactusbarrow_gateway/src/peers.rs
@@ -108,17 +108,8 @@
             })
             .collect(),
         is_store_ok: store_status.is_store_ok,
-        age_ms: store_status
-            .data_age
-            .as_millis()
-            .try_into()
-            .unwrap_or(u32::MAX),
-        watched_ms: shared
-            .store_health()
-            .watched_for(now)
-            .as_millis()
-            .try_into()
-            .unwrap_or(u32::MAX),
+        age_ms: millis_to_wire(store_status.data_age),
+        watched_ms: millis_to_wire(shared.store_health().watched_for(now)),
         prompts: shared
             .prompts()
             .own()
@@ -132,6 +123,8 @@
             .take(MAX_HEARTBEAT_VERSIONS)
             .map(origin_store::version_to_wire)
             .collect(),
+        zone: shared.zone_hash(),
+        exits_in_ms: shared.shutdown().exits_in(now).map(millis_to_wire),
         ..GatewayHeartbeat::default()
     };
     heartbeat.limits = shared
@@ -152,6 +145,10 @@
     heartbeat.encode_to_vec()
 }
 
+fn millis_to_wire(time: Duration) -> u32 {
+    time.as_millis().try_into().unwrap_or(u32::MAX)
+}
+
 fn prompt_to_wire(location: PromptLocation) -> PromptPlace {
     PromptPlace {
         prompt: location.prompt.0,
@@ -234,6 +231,8 @@
         is_store_ok: wire.is_store_ok,
         data_age: Duration::from_millis(wire.age_ms.into()),
         watched_for: Duration::from_millis(wire.watched_ms.into()),
+        zone: wire.zone,
+        exits_in: wire.exits_in_ms.map(|ms| Duration::from_millis(ms.into())),
     };
     let (loads, begun) = {
         let mut peers = shared.peers();
--- a/crates/cactusbarrow_gateway/src/request.rs
+++ b/crates/cactusbarrow_gateway/src/request.rs
@@ -7,9 +7,9 @@
 use cactusbarrow_adapter::CallerRequest;
 use cactusbarrow_net::{Body, Clock, RequestBody, collect_limited};
 use cactusbarrow_policy::{
-    BackendKey, CustomerSpec, GenerationSize, OperatorConfig, PartId, PromptId, Reason,
-    RequestIdentity, RequestKind, RequestParts, ResolveError, Route, ServiceName, ServiceSpec,
-    retry_after,
+    BackendKey, CustomerSpec, GenerationSize, OperatorConfig, PartId, PeerShutdown, PromptId,
+    Reason, RequestIdentity, RequestKind, RequestParts, ResolveError, Route, ServiceName,
+    ServiceSpec, retry_after, shutdown_retry_after,
 };
 use http::{Request, Response, StatusCode};
 
@@ -17,10 +17,6 @@
 use crate::shared::Shared;
 use crate::{call, generation};
 
-/// Retry delay during a shutdown, on top of the time until the load balancer sends the caller
-/// to another gateway.
-const SHUTDOWN_RETRY_MARGIN: Duration = Duration::from_millis(50);
-
 /// Time-out of a request whose caller states none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -200,13 +196,15 @@
 
 /// Returns the refusal of a request that has not run and may not end before the process exits.
 fn shutdown_refusal<C: Clock>(shared: &Shared<C>) -> Refusal {
-    Refusal::not_run(Reason::ShuttingDown, shutdown_retry_after(shared))
+    Refusal::not_run(Reason::ShuttingDown, draw_shutdown_retry(shared))
 }
 
-/// Returns the time after which the load balancer sends callers to other gateways.
-pub(crate) fn shutdown_retry_after<C: Clock>(shared: &Shared<C>) -> Duration {
+/// Draws the delay after which a caller may retry that is refused because this gateway stops.
+pub(crate) fn draw_shutdown_retry<C: Clock>(shared: &Shared<C>) -> Duration {
     let now = shared.now();
-    shared.shutdown().rotation_time_left(now) + SHUTDOWN_RETRY_MARGIN
+    let peers: Vec<PeerShutdown> = shared.peers().shutdowns(shared.zone_hash(), now).collect();
+    let shutdown = shared.shutdown().clone();
+    shutdown_retry_after(&shutdown, &peers, now, &mut *shared.rng())
 }
 
 fn fingerprint<C: Clock>(
--- a/crates/cactusbarrow_gateway/src/shared.rs
+++ b/crates/cactusbarrow_gateway/src/shared.rs
@@ -347,9 +347,16 @@
         let rotation_time_left = shutdown.rotation_time_left(now);
         drop(shutdown);
         self.stopping.cancel();
+        // Peers that stop, too, send no callers here.
+        self.load_change.notify();
         rotation_time_left
     }
 
+    /// Returns the hash of the name of the gateway's availability zone, by which peers recognize it.
+    pub(crate) fn zone_hash(&self) -> u32 {
+        stable_hash(self.settings.zone.as_bytes()) as u32
+    }
+
     /// Waits until the shutdown has begun and a request with this deadline may not end before the process exits; waits
     /// forever if it does end.
     pub(crate) async fn wait_until_too_late(&self, deadline: Instant) {
--- a/crates/cactusbarrow_policy/src/peer_table.rs
+++ b/crates/cactusbarrow_policy/src/peer_table.rs
@@ -12,6 +12,7 @@
 
 use crate::hash::{rendezvous_weight, stable_hash};
 use crate::retry_window::RetryCount;
+use crate::shutdown_retry::PeerShutdown;
 use crate::store_position::{StoreEra, StorePosition};
 use crate::store_watch::StoreStatus;
 use crate::stream_origins::ServiceId;
@@ -85,6 +86,10 @@
     pub data_age: Duration,
     /// Time for which the peer has watched the store without an outage; zero if it does not watch.
     pub watched_for: Duration,
+    /// Hash of the name of the peer's availability zone.
+    pub zone: u32,
+    /// Longest time until the peer exits; `None` if it is not stopping.
+    pub exits_in: Option<Duration>,
 }
 
 #[derive(Clone, Debug)]
@@ -224,6 +229,18 @@
         self.live_entries(now).map(|(ip, _)| *ip)
     }
 
+    /// Returns what is known of the shutdowns of the live peers, as seen from availability zone `zone`.
+    pub fn shutdowns(&self, zone: u32, now: Instant) -> impl Iterator<Item = PeerShutdown> + '_ {
+        self.live_entries(now).map(move |(_, peer)| {
+            let age = now.saturating_duration_since(peer.last_heartbeat);
+            let exits_in = peer.heartbeat.exits_in;
+            PeerShutdown {
+                is_in_zone: peer.heartbeat.zone == zone,
+                exits_in: exits_in.map(|exits_in| exits_in.saturating_sub(age)),
+            }
+        })
+    }
+
     /// Returns the live peers, and gateways that a peer named and that have sent no heartbeat.
     pub fn live_or_named(&self, now: Instant) -> impl Iterator<Item = Ipv4Addr> + '_ {
         self.live_peers(now).chain(self.named.keys().copied())
--- a/crates/cactusbarrow_policy/src/shutdown.rs
+++ b/crates/cactusbarrow_policy/src/shutdown.rs
@@ -16,6 +16,9 @@
     pub exit_reserve: Duration,
     /// Time before the exit at which requests that are still open are refused.
     pub refusal_reserve: Duration,
+    /// Time from the exit of a process until the load balancer sends callers to the next one of its host: the restart,
+    /// and a health check.
+    pub restart_delay: Duration,
 }
 
 impl Default for ShutdownConfig {
@@ -24,6 +27,7 @@
             rotation_exit_delay: Duration::from_millis(2_300),
             exit_reserve: Duration::from_millis(300),
             refusal_reserve: Duration::from_millis(200),
+            restart_delay: Duration::from_millis(1_500),
         }
     }
 }
@@ -62,12 +66,32 @@
     /// Returns the time until the host is out of the load balancer's rotation; zero if the
     /// shutdown has not begun.
     pub fn rotation_time_left(&self, now: Instant) -> Duration {
-        let delay = self.cfg.rotation_exit_delay.min(self.grace / 2);
+        let delay = self.rotation_exit_delay();
         self.started_at.map_or(Duration::ZERO, |started_at| {
             (started_at + delay).saturating_duration_since(now)
         })
     }
 
+    /// Returns the time until a host with the same grace period is out of rotation whose process must exit in
+    /// `exits_in`.
+    pub(crate) fn rotation_time_before(&self, exits_in: Duration) -> Duration {
+        let grace = self.grace.saturating_sub(self.cfg.exit_reserve);
+        exits_in.saturating_sub(grace.saturating_sub(self.rotation_exit_delay()))
+    }
+
+    fn rotation_exit_delay(&self) -> Duration {
+        self.cfg.rotation_exit_delay.min(self.grace / 2)
+    }
+
+    pub(crate) fn restart_delay(&self) -> Duration {
+        self.cfg.restart_delay
+    }
+
+    /// Returns the time until the process must exit, if the shutdown has begun.
+    pub fn exits_in(&self, now: Instant) -> Option<Duration> {
+        self.has_begun().then(|| self.time_left(now))
+    }
+
     /// Returns the time until the process must exit.
     pub fn time_left(&self, now: Instant) -> Duration {
         let grace = self.grace.saturating_sub(self.cfg.exit_reserve);
