--- a/examples/soak/checks.rs
+++ b/examples/soak/checks.rs
@@ -150,10 +150,10 @@
     let since_sent = attempt.ended_at.saturating_duration_since(sent_whole_at);
     // A gateway that stops may close a connection on which it has not read a request.
     let is_accepted = !runs.is_empty() || since_sent > LOSS_BOUND + CALLER_DELAY_ALLOWANCE;
-    ledger.increment(if !is_undisrupted {
-        "lost beside unplanned disruptions"
-    } else if !is_accepted {
+    ledger.increment(if !is_accepted {
         "not taken"
+    } else if !is_undisrupted {
+        "lost beside unplanned disruptions"
     } else if is_cut_in_last_grace(ledger, environment.grace, attempt, runs) {
         "cut at the exit, sent within 3 s"
     } else if is_stream_cut_at_deadline(attempt, runs) {
--- a/tools/ci/experiments.sh
+++ b/tools/ci/experiments.sh
@@ -30,4 +30,5 @@
     fi
 done < <(grep -v '^#' tools/ci/soak_seeds.txt)
 cargo run --locked --quiet --release --example soak -- --scenarios stops --injectors 0 --seed 36 --seconds 16
+cargo run --locked --quiet --release --example soak -- --scenarios single-stops --injectors 0 --seed 39 --seconds 16
 echo "experiments: $passed passed, 0 failed"
