Let work that may have run go on in a router's stop

Callers of a stopping router whose generation had reached an engine that was lost before its first token, or whose lookup had reached a server that hangs, got 'unknown' at once, although the router had minutes left and other engines were free.

Cause: refused whatever would be sent in a stop, also once more; only what has not run can be refused as not run. It also hid an exhausted retry budget behind 'shutting_down', and took from the budget for attempts that it did not start. Change: only a generation that cannot have run, and a call that was not sent, is refused when the stop begins.

--- a/crates/cactusbarrow_policy/src/generation.rs
+++ b/crates/cactusbarrow_policy/src/generation.rs
@@ -88,6 +88,11 @@
         }
     }
 
+    /// Returns whether an engine may have begun to run the generation.
+    pub fn may_have_run(&self) -> bool {
+        self.may_have_run
+    }
+
     /// Returns the tokens accepted so far.
     pub fn accepted(&self) -> &TokenBuffer {
         &self.accepted
--- a/crates/cactusbarrow_router/src/calls.rs
+++ b/crates/cactusbarrow_router/src/calls.rs
@@ -109,6 +109,16 @@
     router.shutdown().can_end(now, time_left)
 }
 
+/// Returns whether a call that was not sent may outlast the process, which shuts down; one that was sent goes on, as
+/// its caller cannot be told that it has not run.
+fn is_refused_by_stop<S: Store + HostList, C: Clock>(
+    router: &Router<S, C>,
+    call: &ServiceCall<'_>,
+    was_sent: bool,
+) -> bool {
+    !was_sent && !ends_before_exit(router, call.deadline)
+}
+
 /// Repeats a call until the service responds, within the caller's deadline and the retry budget.
 async fn call_repeatable<S: Store + HostList, C: Clock>(
     router: &Arc<Router<S, C>>,
@@ -116,10 +126,12 @@
 ) -> Result<Response<Body>, Refusal> {
     router.record_request(&call.service.name);
     let mut excluded = Vec::new();
-    let mut may_have_run = !call.key.is_first_use;
+    let mut was_sent = false;
     let mut retries = 0;
     let mut last_reason = Reason::NoBackend;
-    while let Some(server) = select_server(router, call, &mut excluded, &mut retries).await {
+    while let Some(server) =
+        select_server(router, call, was_sent, &mut excluded, &mut retries).await
+    {
         let time_left = call.deadline.saturating_duration_since(router.clock.now());
         let caller_timeout = call.deadline - call.arrived;
         let timeout = time_left.min(caller_timeout.mul_f64(ATTEMPT_TIMEOUT_SHARE));
@@ -129,7 +141,7 @@
             }
             CallAttemptEnd::NotRun(reason) => last_reason = reason,
             CallAttemptEnd::Unknown(reason) => {
-                may_have_run = true;
+                was_sent = true;
                 last_reason = reason;
                 if !router.try_retry(&call.service.name, reason) {
                     last_reason = Reason::RetryBudget;
@@ -141,10 +153,10 @@
         back_off(retries).await;
         retries += 1;
     }
-    if !ends_before_exit(router, call.deadline) {
+    if is_refused_by_stop(router, call, was_sent) {
         last_reason = Reason::ShuttingDown;
     }
-    let outcome = if may_have_run {
+    let outcome = if was_sent || !call.key.is_first_use {
         Outcome::Unknown
     } else {
         Outcome::NotRun
@@ -153,14 +165,15 @@
 }
 
 /// Selects the server for the next attempt, waiting while none has a free slot; `None` once the
-/// caller's deadline has passed, or if the call may not end before the process exits.
+/// caller's deadline has passed, or if a shutdown keeps the call from being sent.
 async fn select_server<S: Store + HostList, C: Clock>(
     router: &Router<S, C>,
     call: &ServiceCall<'_>,
+    was_sent: bool,
     excluded: &mut Vec<String>,
     retries: &mut u32,
 ) -> Option<Arc<MemberServer>> {
-    while router.clock.now() < call.deadline && ends_before_exit(router, call.deadline) {
+    while router.clock.now() < call.deadline && !is_refused_by_stop(router, call, was_sent) {
         let any_server = BalancingRequest::default();
         let server = router.choose(&call.service.name, None, any_server, excluded);
         if server.is_some() {
@@ -210,7 +223,7 @@
     let mut excluded = Vec::new();
     let mut retries = 0;
     let mut last_reason = Reason::NoBackend;
-    while let Some(server) = select_server(router, call, &mut excluded, &mut retries).await {
+    while let Some(server) = select_server(router, call, false, &mut excluded, &mut retries).await {
         record_claimed_server(router, &claim, server.name());
         let time_left = call.deadline.saturating_duration_since(router.clock.now());
         match send_attempt(router, call, &server, Some(&claim), time_left).await {
@@ -232,7 +245,7 @@
         back_off(retries).await;
         retries += 1;
     }
-    if !ends_before_exit(router, call.deadline) {
+    if is_refused_by_stop(router, call, false) {
         last_reason = Reason::ShuttingDown;
     }
     // No attempt was run, and the claim prevented any other router from running the call.
--- a/crates/cactusbarrow_router/src/generation_driver.rs
+++ b/crates/cactusbarrow_router/src/generation_driver.rs
@@ -258,6 +258,10 @@
     }
 
     fn start(&mut self, attempt: AttemptNumber, prefix: usize) {
+        if self.is_refused_by_stop() {
+            self.report_not_started(attempt, AttemptEnd::Shed(Reason::ShuttingDown));
+            return;
+        }
         // Only a repeat from the start spends retry budget: a refused attempt used no engine time,
         // and an attempt with a prefix preserves tokens that were already generated.
         let is_repeat = self.is_last_attempt_lost && prefix == 0;
@@ -270,20 +274,17 @@
             metrics::counter!("cactusbarrow_resumes_total", "reason" => reason).increment(1);
         }
         let is_resume = prefix > 0;
-        if self.is_too_late(prefix) {
-            self.report_not_started(attempt, AttemptEnd::Shed(Reason::ShuttingDown));
-            return;
-        }
         let must_wait = !is_resume && self.router.has_queue(&self.req.service);
         if must_wait || !self.launch(attempt, prefix) {
             self.enqueue(attempt, is_resume);
         }
     }
 
-    /// Returns whether an attempt may outlast the process: nothing bounds the time that it takes. One that goes on
-    /// after a prefix is started all the same.
-    fn is_too_late(&self, prefix: usize) -> bool {
-        prefix == 0 && self.router.stopping.is_cancelled()
+    /// Returns whether the shutdown has begun before any engine can have run the generation, whose time nothing bounds.
+    ///
+    /// One that may have run goes on: its caller cannot be told that it has not.
+    fn is_refused_by_stop(&self) -> bool {
+        !self.state_machine.may_have_run() && self.router.stopping.is_cancelled()
     }
 
     /// Starts an attempt at a backend server; returns false if none has a free slot.
@@ -353,11 +354,12 @@
             return;
         };
         let tx = self.tx.clone();
+        let may_have_run = self.state_machine.may_have_run();
         let stopping = self.router.stopping.clone();
         let wait = async move {
             let event = tokio::select! {
                 is_granted = queued_request.wait() => is_granted.then_some(AttemptEvent::Granted),
-                () = stopping.cancelled(), if !is_resume => Some(AttemptEvent::Ended {
+                () = stopping.cancelled(), if !may_have_run => Some(AttemptEvent::Ended {
                     length: 0,
                     end: AttemptEnd::Shed(Reason::ShuttingDown),
                 }),
@@ -380,7 +382,7 @@
         }
         self.queued = None;
         let prefix = self.state_machine.accepted().len();
-        if self.is_too_late(prefix) {
+        if self.is_refused_by_stop() {
             self.report_not_started(attempt, AttemptEnd::Shed(Reason::ShuttingDown));
             return true;
         }
--- a/tests/drains.rs
+++ b/tests/drains.rs
@@ -8,8 +8,8 @@
 use cactusbarrow_net::SystemClock;
 use cactusbarrow_protocol::CALL_PATH;
 use cactusbarrow_standins::{
-    CallLedger, Caller, Cluster, ClusterConfig, PlainService, PlainServiceConfig, RouterProcess,
-    Transcript, api_key,
+    BackendWithAgent, CallLedger, Caller, Cluster, ClusterConfig, Engine, PlainService,
+    PlainServiceConfig, RouterProcess, Transcript, api_key,
 };
 use http::Method;
 use log::kv::{Key, Value, VisitSource};
@@ -252,8 +252,7 @@
     drop(process);
 }
 
-/// Work that waited for a free slot when a router's stop began was told only at the exit that it was not run, or
-/// was started late and cut.
+/// Guards against work that waits for a free slot in a router that stops, and is started late and cut.
 #[tokio::test(flavor = "multi_thread")]
 async fn work_that_waits_in_a_router_is_refused_when_its_stop_begins() {
     record_lines();
@@ -299,3 +298,73 @@
     stop.await.expect("the router stops");
     drop(process);
 }
+
+/// Guards against a generation that a stopping router gives up, although it may have run, when its engine is lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn generation_that_loses_its_engine_in_a_stop_goes_on() {
+    let mut cfg = cluster_config();
+    cfg.engine.prefill = START_TIME * 2;
+    let mut cluster = Cluster::start(cfg).await;
+    let RouterProcess {
+        handle, process, ..
+    } = cluster.routers.remove(0);
+    let router = handle.listen;
+    let body = Cluster::completion_body("a deposition that moves", 6, 10);
+    let response = tokio::spawn(async move {
+        let mut conn = TcpStream::connect(router).await.expect("connect");
+        exchange(&mut conn, "POST /v1/completions", &body).await
+    });
+    let has_request =
+        |engine: &BackendWithAgent<Engine>| engine.backend.stats.last_request_at().is_some();
+    let placed = async {
+        while !cluster.engines.iter().any(has_request) {
+            tokio::time::sleep(RETRY_INTERVAL).await;
+        }
+    };
+    let placed = tokio::time::timeout(TIMEOUT, placed).await;
+    placed.expect("the generation reaches an engine");
+    let stop = tokio::spawn(handle.stop());
+    while TcpStream::connect(router).await.is_ok() {
+        tokio::time::sleep(RETRY_INTERVAL).await;
+    }
+    for engine in cluster.engines.iter().filter(|engine| has_request(engine)) {
+        engine.agent.kill();
+        engine.backend.process.kill();
+    }
+    let response = response.await.expect("the request ends");
+    assert!(response.starts_with("HTTP/1.1 200 "), "{response}");
+    assert!(response.contains("[DONE]"), "{response}");
+    stop.await.expect("the router stops");
+    drop(process);
+}
+
+/// Guards against a repeatable call that a stopping router gives up, although it may have run, when its server hangs.
+#[tokio::test(flavor = "multi_thread")]
+async fn lookup_whose_server_hangs_in_a_stop_goes_on() {
+    let mut cfg = cluster_config();
+    cfg.services = 2;
+    let mut cluster = Cluster::start(cfg).await;
+    let RouterProcess {
+        handle, process, ..
+    } = cluster.routers.remove(0);
+    let router = handle.listen;
+    cluster.calls.set_hanging(true);
+    let response = tokio::spawn(async move {
+        let mut conn = TcpStream::connect(router).await.expect("connect");
+        exchange(&mut conn, "GET /bookings/lookup", "").await
+    });
+    let sent = async {
+        while cluster.calls.received() == 0 {
+            tokio::time::sleep(RETRY_INTERVAL).await;
+        }
+    };
+    let sent = tokio::time::timeout(TIMEOUT, sent).await;
+    sent.expect("the lookup reaches the service");
+    cluster.calls.set_hanging(false);
+    let stop = tokio::spawn(handle.stop());
+    let response = response.await.expect("the request ends");
+    assert!(response.starts_with("HTTP/1.1 200 "), "{response}");
+    assert!(cluster.calls.received() > 1, "it was sent once more");
+    stop.await.expect("the router stops");
+    drop(process);
+}
