review: renumber the cases by gravity

Cause: two graver cases follow, which take the numbers 6 and 7.

Change: the cases 6 to 8 are now 8 to 10.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -2,7 +2,7 @@
 # Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. TROUBLE=0 leaves the disruption
 # out. Build with review/build-2.sh first.
 cd "$(dirname "$0")/../.." || exit 2
-program=target/review-2/release/silent_channels
+program=target/review-2/release/missed_version
 [ -x "$program" ] || exit 2
 RECORD="$PWD/review/8/record.txt" "$program" >/dev/null
 code=$?
