review: show that entries without a version join two versions

Cause: an entry without `version` is taken for one of version "", although it names no engine to use. Engines with such entries count as of one version, and streams go on from one to another.

Engine stand-ins state their version and can crash, and the store stand-in can turn calls away.

--- a/review/standins-2/src/engine.rs
+++ b/review/standins-2/src/engine.rs
@@ -1,7 +1,8 @@
 //! Stand-in for an engine or a plain service.
 
 use std::io::{BufReader, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpStream};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -25,6 +26,8 @@
     pub addr: SocketAddr,
     pub born: u64,
     runs: Arc<Mutex<Vec<Run>>>,
+    has_crashed: Arc<AtomicBool>,
+    connections: Arc<Mutex<Vec<TcpStream>>>,
 }
 
 impl Engine {
@@ -36,10 +39,21 @@
             addr: listener.local_addr().expect("an address"),
             born: 1_796_000_000_000,
             runs: Arc::default(),
+            has_crashed: Arc::default(),
+            connections: Arc::default(),
         };
+        listener.set_nonblocking(true).expect("a listener");
         let served = engine.clone();
         std::thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
+            while !served.has_crashed.load(Ordering::Relaxed) {
+                let Ok((stream, _)) = listener.accept() else {
+                    std::thread::sleep(Duration::from_millis(1));
+                    continue;
+                };
+                let _ = stream.set_nonblocking(false);
+                if let Ok(stream) = stream.try_clone() {
+                    served.connections.lock().expect("connections").push(stream);
+                }
                 let (engine, handler) = (served.clone(), handler.clone());
                 std::thread::spawn(move || engine.serve(stream, &*handler));
             }
@@ -47,6 +61,19 @@
         engine
     }
 
+    /// Ends the engine: its connections close, and its address refuses new ones.
+    pub fn crash(&self) {
+        self.has_crashed.store(true, Ordering::Relaxed);
+        for stream in self.connections.lock().expect("connections").drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// Returns whether the engine has ended.
+    pub fn has_crashed(&self) -> bool {
+        self.has_crashed.load(Ordering::Relaxed)
+    }
+
     /// Starts an engine that answers each call after `work`.
     pub fn start_plain(instance: &str, ip: Ipv4Addr, work: Duration) -> Self {
         let handler = move |head: &Head, _: &[u8], stream: &mut TcpStream| {
@@ -58,8 +85,20 @@
 
     /// Returns the entry with which it registers itself.
     pub fn entry(&self, service: &str, zone: &str, state: &str, slots: u32) -> String {
+        self.entry_of_version(service, zone, state, slots, "v1")
+    }
+
+    /// Returns the same with the version of its software.
+    pub fn entry_of_version(
+        &self,
+        service: &str,
+        zone: &str,
+        state: &str,
+        slots: u32,
+        version: &str,
+    ) -> String {
         format!(
-            "{{\"service\":\"{service}\",\"address\":\"{}\",\"zone\":\"{zone}\",\"version\":\"v1\",\"slots\":{slots},\
+            "{{\"service\":\"{service}\",\"address\":\"{}\",\"zone\":\"{zone}\",\"version\":\"{version}\",\"slots\":{slots},\
              \"state\":\"{state}\",\"coldLeftMs\":0,\"sequence\":4,\"born\":{}}}",
             self.addr, self.born
         )
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -33,6 +33,8 @@
     /// Revision up to which the history was dropped.
     dropped: u64,
     next_lease: u64,
+    /// Whether it turns all calls away.
+    is_busy: bool,
 }
 
 /// The store; clones share it.
@@ -56,6 +58,7 @@
                     history: Vec::new(),
                     dropped: 0,
                     next_lease: 1,
+                    is_busy: false,
                 }),
                 Condvar::new(),
             )),
@@ -81,6 +84,21 @@
         revision
     }
 
+    /// Writes a key unless it holds this value; engines repeat their entries so.
+    pub fn keep(&self, key: &str, value: &[u8]) {
+        let encoded = base64(value);
+        let is_same = {
+            let state = self.state.0.lock().expect("the store");
+            state
+                .items
+                .get(key)
+                .is_some_and(|item| item.value == encoded)
+        };
+        if !is_same {
+            self.put(key, value);
+        }
+    }
+
     /// Deletes a key.
     pub fn delete(&self, key: &str) {
         let mut state = self.state.0.lock().expect("the store");
@@ -89,6 +107,16 @@
         self.state.1.notify_all();
     }
 
+    /// Has the store turn all calls away with 503, or serve them again.
+    pub fn set_busy(&self, is_busy: bool) {
+        self.state.0.lock().expect("the store").is_busy = is_busy;
+        self.state.1.notify_all();
+    }
+
+    fn is_busy(&self) -> bool {
+        self.state.0.lock().expect("the store").is_busy
+    }
+
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let mut writer = stream.try_clone().expect("a connection");
@@ -97,7 +125,11 @@
             let Ok(body) = read_body(&mut reader, &head, false) else {
                 return;
             };
-            let (status, body) = self.answer(&head, &body);
+            let (status, body) = if self.is_busy() {
+                ("503 Service Unavailable", "{}".to_owned())
+            } else {
+                self.answer(&head, &body)
+            };
             let headers = [("Content-Type", "application/json"), ("Store-Era", "1")];
             if respond(&mut writer, status, &headers, body.as_bytes()).is_err() {
                 return;
@@ -175,6 +207,9 @@
         let deadline = Instant::now() + Duration::from_millis(number("waitMs"));
         let mut state = self.state.0.lock().expect("the store");
         loop {
+            if state.is_busy {
+                return ("503 Service Unavailable", "{}".to_owned());
+            }
             self.drop_old_history(&mut state);
             if after < state.dropped || after > state.revision {
                 return ("410 Gone", "{}".to_owned());
