--- a/tests/common/gateway_process.rs
+++ b/tests/common/gateway_process.rs
@@ -28,9 +28,24 @@
 
 impl GatewayProcess {
     /// Starts a gateway at an address of this process's loopback network; each test uses other hosts.
+    #[allow(dead_code, reason = "each test file uses some of the functions")]
     pub(crate) fn start(host: u8, store: SocketAddr, grace: Duration) -> Self {
+        Self::start_with_edits(host, store, grace, &[])
+    }
+
+    /// Starts a gateway with parts of its settings' text replaced.
+    pub(crate) fn start_with_edits(
+        host: u8,
+        store: SocketAddr,
+        grace: Duration,
+        edits: &[(&str, &str)],
+    ) -> Self {
         let ip = &format!("127.{}.0.{host}", reserved_network());
-        let settings = settings_yaml_with_grace("gateway", ip, BASE_PORT, ip, store, grace);
+        let mut settings = settings_yaml_with_grace("gateway", ip, BASE_PORT, ip, store, grace);
+        for (from, to) in edits {
+            assert!(settings.contains(from), "the settings have no {from:?}");
+            settings = settings.replace(from, to);
+        }
         let file = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("gateway-{ip}.yaml"));
         std::fs::write(&file, settings).expect("a file can be written");
         let mut child = Command::new(env!("CARGO_BIN_EXE_cactusbarrowd"))
@@ -58,6 +73,11 @@
         }
     }
 
+    #[allow(dead_code, reason = "each test file uses some of the functions")]
+    pub(crate) fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Returns the most memory that the process has had so far.
     #[allow(dead_code, reason = "each test file uses some of the functions")]
     pub(crate) fn peak_memory_bytes(&self) -> usize {
--- a/tests/gateway_memory.rs
+++ b/tests/gateway_memory.rs
@@ -12,6 +12,7 @@
 use gateway_process::GatewayProcess;
 use http_body_util::BodyExt;
 use serde_json::Value;
+use tokio::sync::Mutex;
 use tokio::task::JoinSet;
 
 const KEY: &str = "key-1";
@@ -32,6 +33,9 @@
 const TRIES: usize = 4;
 const PAUSE: Duration = Duration::from_millis(300);
 
+/// One crowd at a time: each is to have the machine for itself.
+static TURN: Mutex<()> = Mutex::const_new(());
+
 /// How a request ended: its status, and whether its body was whole.
 type End = Option<(u16, bool)>;
 
@@ -81,6 +85,7 @@
     faulty: &'static str,
     sound: &'static str,
 ) {
+    let _turn = TURN.lock().await;
     let store = StoreStandin::start().await.expect("start the store");
     store.put("op/config", &config());
     let endless = EndlessStandin::start(bytes).await.expect("start a server");
