Limit the connections and memory of routers, agents and operators' addresses

Callers saw the same at the other roles: 900 silent connections took all 600 descriptors of a router or an agent, and of their addresses for operators; 300 bodies of 1 MiB took 225 MB of a router and 278 MB of an agent, of 128 MB; 300 callers that send on after their request 454 MB of a router with what it had not read.

Cause: their listeners had no limit, and hyper's read buffers grow to 400 KiB a connection and 1 MiB a connection of HTTP/2.

Change: their connections, requests and streams of HTTP/2 count against body_memory_bytes like those of a gateway. The setting max_connections defaults to half of the process's descriptors for a router and a quarter for an agent, the operators' address takes 32. A connection of HTTP/2 is kept while one of its requests is. Read buffers hold 64 KiB, a connection of HTTP/2 256 KiB and a stream 64 KiB. body_memory_bytes of a router defaults to 1 GiB instead of 256 MiB, as it counts for 8,192 requests in flight now.

--- a/crates/cactusbarrow_agent/src/agent.rs
+++ b/crates/cactusbarrow_agent/src/agent.rs
@@ -25,7 +25,7 @@
     pub(crate) cfg: AgentConfig,
     pub(crate) clock: C,
     pub(crate) http: HttpClient,
-    /// Memory that the bodies which the agent reads share.
+    /// Memory that connections, requests and the bodies which the agent reads share.
     pub(crate) process_memory: ProcessMemory,
     pub(crate) generations: GenerationTable,
     pub(crate) responses: ResponseCache,
--- a/crates/cactusbarrow_agent/src/calls.rs
+++ b/crates/cactusbarrow_agent/src/calls.rs
@@ -130,13 +130,15 @@
 ) -> Response<Body> {
     // The body is read in full before admission, so that an admitted call cannot fail because its
     // request breaks off.
-    let body = match agent
-        .process_memory
-        .collect(body, MAX_CLAIMED_BYTES, peer)
+    let holding = body.holding().clone();
+    let body = match body
+        .collect(&agent.process_memory, MAX_CLAIMED_BYTES, peer)
         .await
     {
-        Ok(CollectedBody::Whole(body)) => body,
-        Ok(CollectedBody::GivenUp) => return refusal_response(Reason::NoMemory),
+        Ok(CollectedBody::Whole(body)) if holding.keep() => body,
+        Ok(CollectedBody::Whole(_) | CollectedBody::GivenUp) => {
+            return refusal_response(Reason::NoMemory);
+        }
         Ok(CollectedBody::TooLarge) => {
             return failure_response(
                 StatusCode::PAYLOAD_TOO_LARGE,
--- a/crates/cactusbarrow_agent/src/config.rs
+++ b/crates/cactusbarrow_agent/src/config.rs
@@ -35,8 +35,11 @@
     pub response_retention: Duration,
     /// Maximum total size of the retained responses, in bytes.
     pub response_cache_bytes: usize,
-    /// Memory that the bodies which the agent reads take together at most, in bytes; retained responses are among them.
+    /// Memory that connections, requests and the bodies which the agent reads take together at most, in bytes; retained
+    /// responses are among them.
     pub body_memory_bytes: usize,
+    /// Number of connections, beyond which those that have made no progress for longest are closed.
+    pub max_connections: usize,
     /// Time after the start of a drain at which the agent requests that generations move elsewhere.
     pub move_after: Duration,
     /// Maximum time from SIGTERM to the end of the process.
@@ -68,6 +71,7 @@
             response_retention: Duration::from_secs(600),
             response_cache_bytes: 32 << 20,
             body_memory_bytes: 64 << 20,
+            max_connections: 1_024,
             move_after: Duration::from_secs(10),
             drain_timeout: Duration::from_secs(30),
             heartbeat_interval: Duration::from_millis(100),
--- a/crates/cactusbarrow_agent/src/generate.rs
+++ b/crates/cactusbarrow_agent/src/generate.rs
@@ -110,8 +110,10 @@
     body: RequestBody,
     peer: &str,
 ) -> Result<M, Response<Body>> {
-    let collected = agent.process_memory.collect(body, MAX_FRAME_BYTES, peer);
+    let holding = body.holding().clone();
+    let collected = body.collect(&agent.process_memory, MAX_FRAME_BYTES, peer);
     match collected.await {
+        Ok(CollectedBody::Whole(_)) if !holding.keep() => Err(refusal_response(Reason::NoMemory)),
         Ok(CollectedBody::Whole(bytes)) => M::decode(bytes).map_err(|_| bad_request()),
         Ok(CollectedBody::GivenUp) => Err(refusal_response(Reason::NoMemory)),
         Ok(CollectedBody::TooLarge) | Err(_) => Err(bad_request()),
--- a/crates/cactusbarrow_agent/src/run.rs
+++ b/crates/cactusbarrow_agent/src/run.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use cactusbarrow_net::{
-    Body, Clock, ControlServer, NetError, PeerAddr, RequestBody, ServeConfig, listen, serve,
+    Body, Clock, ConnectionLimit, ControlServer, NetError, PeerAddr, RequestBody, ServeConfig,
+    listen, serve,
 };
 use cactusbarrow_policy::{DrainCause, Outcome, Reason, Revision, Shutdown, ShutdownConfig};
 use cactusbarrow_protocol::{ANSWER_PATH, ATTACH_PATH, CALL_PATH, GENERATE_PATH};
@@ -19,7 +20,7 @@
 use crate::agent::Agent;
 use crate::config::AgentConfig;
 use crate::control::AgentControl;
-use crate::responses::failure_response;
+use crate::responses::{failure_response, refusal_response};
 use crate::{backend_probe, calls, generate};
 
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -62,7 +63,12 @@
     match req.uri().path() {
         GENERATE_PATH => generate::generate(agent, req.into_body(), &peer).await,
         ATTACH_PATH => generate::attach(agent, req.into_body(), &peer).await,
-        path if path.starts_with(ANSWER_PATH) => calls::earlier_response(agent, path).await,
+        path if path.starts_with(ANSWER_PATH) => {
+            if !req.body().holding().keep() {
+                return refusal_response(Reason::NoMemory);
+            }
+            calls::earlier_response(agent, path).await
+        }
         path if path.starts_with(CALL_PATH) => calls::forward_call(agent, req, &peer).await,
         _ => failure_response(StatusCode::NOT_FOUND, Outcome::NotRun, Reason::BadRequest),
     }
@@ -103,6 +109,7 @@
 ) -> bool {
     let close = CancellationToken::new();
     let cfg = ServeConfig {
+        connections: ConnectionLimit::new(&agent.process_memory, agent.cfg.max_connections),
         drain_timeout: agent.cfg.drain_timeout,
         ..ServeConfig::default()
     };
--- a/crates/cactusbarrow_daemon/src/admin.rs
+++ b/crates/cactusbarrow_daemon/src/admin.rs
@@ -4,13 +4,16 @@
 use std::net::SocketAddr;
 
 use anyhow::Context;
-use cactusbarrow_net::{Body, RequestBody, ServeConfig, serve};
+use cactusbarrow_net::{Body, ConnectionLimit, ProcessMemory, RequestBody, ServeConfig, serve};
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
+/// Connections to the endpoints at once.
+const MAX_CONNECTIONS: usize = 32;
+
 /// Process state reported by `/status` and `/readyz`.
 #[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize)]
 pub(crate) struct Status {
@@ -46,7 +49,11 @@
         let res = respond(req.uri().path(), &metrics, &status.borrow());
         std::future::ready(Ok::<_, Infallible>(res))
     });
-    tokio::spawn(serve(listener, service, ServeConfig::default(), shutdown));
+    let cfg = ServeConfig {
+        connections: ConnectionLimit::new(&ProcessMemory::default(), MAX_CONNECTIONS),
+        ..ServeConfig::default()
+    };
+    tokio::spawn(serve(listener, service, cfg, shutdown));
     Ok(())
 }
 
--- a/crates/cactusbarrow_daemon/src/run.rs
+++ b/crates/cactusbarrow_daemon/src/run.rs
@@ -7,6 +7,7 @@
 use anyhow::Context;
 use cactusbarrow_net::SystemClock;
 use cactusbarrow_platform::ConsulStore;
+use rustix::process::{Resource, getrlimit};
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
@@ -93,7 +94,7 @@
     let metrics = admin::install_metrics_recorder()?;
     let shutdown = CancellationToken::new();
     let store = ConsulStore::new(settings.store);
-    let cfg = settings.to_config();
+    let cfg = settings.to_config(descriptor_limit());
     let handle = cactusbarrow_router::start(cfg, store, SystemClock, shutdown.clone())
         .await
         .context("start the router")?;
@@ -134,7 +135,7 @@
     let mut signals = Signals::register()?;
     let metrics = admin::install_metrics_recorder()?;
     let shutdown = CancellationToken::new();
-    let cfg = settings.to_config();
+    let cfg = settings.to_config(descriptor_limit());
     let handle = cactusbarrow_agent::start(cfg, SystemClock, shutdown.clone())
         .await
         .context("start the agent")?;
@@ -164,6 +165,12 @@
     Ok(is_clean)
 }
 
+/// Returns the number of descriptors that the process may open.
+fn descriptor_limit() -> usize {
+    let limit = getrlimit(Resource::Nofile).current.unwrap_or(u64::MAX);
+    usize::try_from(limit).unwrap_or(usize::MAX)
+}
+
 fn log_unread_settings() {
     log::info!("the settings file is read at the next start only");
 }
--- a/crates/cactusbarrow_daemon/src/settings.rs
+++ b/crates/cactusbarrow_daemon/src/settings.rs
@@ -95,8 +95,10 @@
     pub max_in_flight: Option<usize>,
     /// Maximum size of a request body, in bytes.
     pub max_body_bytes: Option<usize>,
-    /// Maximum total size of the bodies that the router holds, in bytes.
+    /// Maximum total size of the connections, requests and bodies that the router holds, in bytes.
     pub body_memory_bytes: Option<usize>,
+    /// Maximum number of callers' connections; defaults to half of the descriptors that the process may open.
+    pub max_connections: Option<usize>,
     /// Drain time-out: the longest time that streams may continue after SIGTERM, in seconds.
     pub grace_seconds: Option<u64>,
 }
@@ -139,8 +141,11 @@
     pub orphan_grace_seconds: Option<u64>,
     /// Maximum total size of the retained responses of claimed calls, in bytes.
     pub answer_memory_bytes: Option<usize>,
-    /// Maximum total size of the bodies that the agent holds, retained responses among them, in bytes.
+    /// Maximum total size of the connections, requests and bodies that the agent holds, retained responses among
+    /// them, in bytes.
     pub body_memory_bytes: Option<usize>,
+    /// Maximum number of routers' connections; defaults to a quarter of the descriptors that the process may open.
+    pub max_connections: Option<usize>,
 }
 
 /// Settings whose values are validated after parsing.
@@ -160,6 +165,7 @@
                     .to_owned(),
             );
         }
+        check_connections(self.max_connections, &mut errors);
         errors
     }
 }
@@ -169,19 +175,26 @@
         let mut errors = check_names(&[("name", &self.name)]);
         check_distinct(&[self.listen, self.control, self.admin], &mut errors);
         let (move_after, grace) = (self.move_after_seconds, self.grace_seconds);
-        let cfg = self.to_config();
+        let cfg = self.to_config(usize::MAX);
         if cfg.move_after >= cfg.drain_timeout {
             errors.push(format!(
                 "move_after_seconds: must be below grace_seconds ({move_after:?}, {grace:?})"
             ));
         }
+        check_connections(self.max_connections, &mut errors);
         errors
     }
 }
 
+/// Parts of a process's descriptors that connections to it may take, as divisors: a router sends all requests to an agent
+/// on one connection, an agent opens one to its engine for each.
+const ROUTER_CONNECTIONS_DIVISOR: usize = 2;
+const AGENT_CONNECTIONS_DIVISOR: usize = 4;
+
 impl RouterSettings {
-    /// Converts the settings to the router's configuration, with defaults for absent fields.
-    pub fn to_config(&self) -> RouterConfig {
+    /// Converts the settings to the router's configuration, with defaults for absent fields; `descriptors` is the number
+    /// that the process may open.
+    pub fn to_config(&self, descriptors: usize) -> RouterConfig {
         let mut cfg = RouterConfig::new(&self.name, &self.zone, self.listen, self.control);
         cfg.advertised_control = self.advertised_control;
         cfg.seeds = self
@@ -196,14 +209,19 @@
         cfg.max_in_flight = self.max_in_flight.unwrap_or(cfg.max_in_flight);
         cfg.max_body_bytes = self.max_body_bytes.unwrap_or(cfg.max_body_bytes);
         cfg.body_memory_bytes = self.body_memory_bytes.unwrap_or(cfg.body_memory_bytes);
+        let fitting = cfg
+            .max_connections
+            .min(descriptors / ROUTER_CONNECTIONS_DIVISOR);
+        cfg.max_connections = self.max_connections.unwrap_or(fitting);
         cfg.drain_timeout = seconds_or(self.grace_seconds, cfg.drain_timeout);
         cfg
     }
 }
 
 impl AgentSettings {
-    /// Converts the settings to the agent's configuration, with defaults for absent fields.
-    pub fn to_config(&self) -> AgentConfig {
+    /// Converts the settings to the agent's configuration, with defaults for absent fields; `descriptors` is the number
+    /// that the process may open.
+    pub fn to_config(&self, descriptors: usize) -> AgentConfig {
         let kind = match self.kind {
             BackendKindSetting::Engine => BackendKind::Engine,
             BackendKindSetting::Service => BackendKind::Service,
@@ -212,6 +230,10 @@
         cfg.drain_timeout = seconds_or(self.grace_seconds, cfg.drain_timeout);
         cfg.move_after = seconds_or(self.move_after_seconds, cfg.move_after);
         cfg.orphan_timeout = seconds_or(self.orphan_grace_seconds, cfg.orphan_timeout);
+        let fitting = cfg
+            .max_connections
+            .min(descriptors / AGENT_CONNECTIONS_DIVISOR);
+        cfg.max_connections = self.max_connections.unwrap_or(fitting);
         cfg.response_cache_bytes = self.answer_memory_bytes.unwrap_or(cfg.response_cache_bytes);
         cfg.body_memory_bytes = self.body_memory_bytes.unwrap_or(cfg.body_memory_bytes);
         cfg
@@ -257,6 +279,12 @@
         .collect()
 }
 
+fn check_connections(max: Option<usize>, errors: &mut Vec<String>) {
+    if max == Some(0) {
+        errors.push("max_connections: must be at least 1".to_owned());
+    }
+}
+
 fn check_distinct(addrs: &[SocketAddr; 3], errors: &mut Vec<String>) {
     let [listen, control, admin] = addrs;
     let is_same = |a: &SocketAddr, b: &SocketAddr| a == b && a.port() != 0;
--- a/crates/cactusbarrow_daemon/tests/settings.rs
+++ b/crates/cactusbarrow_daemon/tests/settings.rs
@@ -35,9 +35,9 @@
 #[test]
 fn valid_settings_are_accepted() {
     let router: RouterSettings = parse_settings("router.yaml", ROUTER).unwrap();
-    assert_eq!(router.to_config().seeds.len(), 1);
+    assert_eq!(router.to_config(1_024).seeds.len(), 1);
     let agent: AgentSettings = parse_settings("agent.yaml", AGENT).unwrap();
-    assert_eq!(agent.to_config().name, "engine-1");
+    assert_eq!(agent.to_config(1_024).name, "engine-1");
 }
 
 #[test]
--- a/crates/cactusbarrow_router/src/config.rs
+++ b/crates/cactusbarrow_router/src/config.rs
@@ -37,8 +37,10 @@
     pub max_in_flight: usize,
     /// Largest body of a request, in bytes.
     pub max_body_bytes: usize,
-    /// Memory that the bodies which the router reads take together at most, in bytes.
+    /// Memory that connections, requests and the bodies which the router reads take together at most, in bytes.
     pub body_memory_bytes: usize,
+    /// Number of callers' connections, beyond which those that have made no progress for longest are closed.
+    pub max_connections: usize,
     /// Maximum time from SIGTERM to the end of the process; streams are aborted shortly before.
     pub drain_timeout: Duration,
     /// Time after which a caller that does not read its stream is disconnected.
@@ -83,7 +85,8 @@
             seeds: Vec::new(),
             max_in_flight: 8_192,
             max_body_bytes: 4 << 20,
-            body_memory_bytes: 256 << 20,
+            body_memory_bytes: 1 << 30,
+            max_connections: 8_192,
             drain_timeout: Duration::from_secs(300),
             caller_stall_timeout: Duration::from_secs(30),
             polls_per_second: 5.0,
--- a/crates/cactusbarrow_router/src/router.rs
+++ b/crates/cactusbarrow_router/src/router.rs
@@ -37,7 +37,7 @@
     pub(crate) agent_client: HttpClient,
     pub(crate) control: ControlClient,
     pub(crate) config: ConfigState,
-    /// Memory that the bodies which the router reads share.
+    /// Memory that connections, requests and the bodies which the router reads share.
     pub(crate) process_memory: ProcessMemory,
     pub(crate) peers: Peers,
     pub(crate) directory: Directory,
--- a/crates/cactusbarrow_router/src/run.rs
+++ b/crates/cactusbarrow_router/src/run.rs
@@ -6,8 +6,8 @@
 use std::time::{Duration, Instant};
 
 use cactusbarrow_net::{
-    Body, Clock, CollectedBody, ControlServer, NetError, PeerAddr, RequestBody, ServeConfig,
-    listen, serve,
+    Body, Clock, CollectedBody, ConnectionLimit, ControlServer, NetError, PeerAddr, RequestBody,
+    ServeConfig, listen, serve,
 };
 use cactusbarrow_platform::{HostList, Store};
 use cactusbarrow_policy::{Outcome, Reason, Revision};
@@ -117,6 +117,7 @@
 ) -> bool {
     let close = CancellationToken::new();
     let cfg = ServeConfig {
+        connections: ConnectionLimit::new(&router.process_memory, router.cfg.max_connections),
         drain_timeout: router.cfg.drain_timeout,
         ..ServeConfig::default()
     };
@@ -199,8 +200,8 @@
         .map_or_else(String::new, |peer| peer.0.to_string());
     let (parts, body) = req.into_parts();
     let customer = authenticate(&fleet, &parts.headers)?;
-    let memory = &router.process_memory;
-    let body = memory.collect(body, router.cfg.max_body_bytes, &peer);
+    let holding = body.holding().clone();
+    let body = body.collect(&router.process_memory, router.cfg.max_body_bytes, &peer);
     let body = match tokio::time::timeout(BODY_TIMEOUT, body).await {
         Ok(Ok(CollectedBody::Whole(body))) => body,
         Ok(Ok(CollectedBody::GivenUp)) => return Err(refuse(Reason::NoMemory, "read body")),
@@ -215,9 +216,16 @@
                 .with_message("the body did not arrive within 10 s"));
         }
     };
+    if !holding.keep() {
+        return Err(refuse(Reason::NoMemory, "admit request"));
+    }
     if parts.uri.path() == COMPLETIONS_PATH && parts.method == Method::POST {
-        completions::complete(router, &fleet, customer, &parts.headers, body).await
+        let completed = completions::complete(router, &fleet, customer, &parts.headers, body);
+        Box::pin(completed).await
     } else {
-        calls::call(router, &fleet, &customer, &parts, body, arrived).await
+        Box::pin(calls::call(
+            router, &fleet, &customer, &parts, body, arrived,
+        ))
+        .await
     }
 }
