Give places for requests in flight only once their bodies have arrived

Callers of a router were refused as overloaded while as few others as max_in_flight stopped in the middle of their bodies, for 10 s each; calls to an agent's service likewise, without an end.

Cause: a router counted a request as in flight from its head on, and an agent admitted a repeatable call before it had read the body that it passed on.

Change: a router acquires the place, and an agent the slot, when the body has arrived; until then requests are bounded by the memory that they share with connections. Agents read bodies of repeatable calls whole, as those of claimed ones.

--- a/crates/cactusbarrow_agent/src/calls.rs
+++ b/crates/cactusbarrow_agent/src/calls.rs
@@ -50,7 +50,7 @@
     let (parts, body) = req.into_parts();
     match parse_claim(&parts.headers) {
         Ok(Some(claim)) => forward_claimed(agent, parts, body, claim, peer).await,
-        Ok(None) => forward_repeatable(agent, &parts, body).await,
+        Ok(None) => forward_repeatable(agent, &parts, body, peer).await,
         Err(()) => failure_response(StatusCode::BAD_REQUEST, Outcome::NotRun, Reason::BadRequest),
     }
 }
@@ -78,13 +78,18 @@
     agent: &Arc<Agent<C>>,
     parts: &Parts,
     body: RequestBody,
+    peer: &str,
 ) -> Response<Body> {
+    let body = match collect_body(agent, body, usize::MAX, peer).await {
+        Ok(body) => body,
+        Err(refusal) => return refusal,
+    };
     let id = CallId::Repeatable(parts.uri.path().to_owned());
     let permit = match agent.admit_call(&Work::Repeatable, id) {
         Ok(permit) => permit,
         Err(reason) => return refusal_response(reason),
     };
-    let req = match service_request(agent.cfg.backend, parts, Body::Request(body)) {
+    let req = match service_request(agent.cfg.backend, parts, Body::full(body)) {
         Ok(req) => req,
         Err(e) => return invalid_call_response(&e),
     };
@@ -121,6 +126,28 @@
     Response::from_parts(parts, body)
 }
 
+/// Reads the body of a call, of at most `limit` bytes; fails with the response to one that cannot be read.
+///
+/// It is read in full before admission, so that an admitted call cannot fail because its request breaks off, and one that
+/// arrives slowly takes no place at the service.
+async fn collect_body<C: Clock>(
+    agent: &Agent<C>,
+    body: RequestBody,
+    limit: usize,
+    peer: &str,
+) -> Result<Bytes, Response<Body>> {
+    let holding = body.holding().clone();
+    let refuse = |status, reason| Err(failure_response(status, Outcome::NotRun, reason));
+    match body.collect(&agent.process_memory, limit, peer).await {
+        Ok(CollectedBody::Whole(body)) if holding.keep() => Ok(body),
+        Ok(CollectedBody::Whole(_) | CollectedBody::GivenUp) => {
+            Err(refusal_response(Reason::NoMemory))
+        }
+        Ok(CollectedBody::TooLarge) => refuse(StatusCode::PAYLOAD_TOO_LARGE, Reason::TooLarge),
+        Err(_) => refuse(StatusCode::BAD_REQUEST, Reason::BadRequest),
+    }
+}
+
 async fn forward_claimed<C: Clock>(
     agent: &Arc<Agent<C>>,
     parts: Parts,
@@ -128,27 +155,9 @@
     claim: CallClaim,
     peer: &str,
 ) -> Response<Body> {
-    // The body is read in full before admission, so that an admitted call cannot fail because its
-    // request breaks off.
-    let holding = body.holding().clone();
-    let body = match body
-        .collect(&agent.process_memory, MAX_CLAIMED_BYTES, peer)
-        .await
-    {
-        Ok(CollectedBody::Whole(body)) if holding.keep() => body,
-        Ok(CollectedBody::Whole(_) | CollectedBody::GivenUp) => {
-            return refusal_response(Reason::NoMemory);
-        }
-        Ok(CollectedBody::TooLarge) => {
-            return failure_response(
-                StatusCode::PAYLOAD_TOO_LARGE,
-                Outcome::NotRun,
-                Reason::TooLarge,
-            );
-        }
-        Err(_) => {
-            return failure_response(StatusCode::BAD_REQUEST, Outcome::NotRun, Reason::BadRequest);
-        }
+    let body = match collect_body(agent, body, MAX_CLAIMED_BYTES, peer).await {
+        Ok(body) => body,
+        Err(refusal) => return refusal,
     };
     let req = match service_request(agent.cfg.backend, &parts, Body::full(body)) {
         Ok(req) => req,
--- a/crates/cactusbarrow_router/src/lib.rs
+++ b/crates/cactusbarrow_router/src/lib.rs
@@ -23,7 +23,6 @@
 mod generation_driver;
 mod gossip;
 mod hosts;
-mod in_flight_limit;
 mod members;
 mod peers;
 mod poll;
--- a/crates/cactusbarrow_router/src/router.rs
+++ b/crates/cactusbarrow_router/src/router.rs
@@ -11,6 +11,7 @@
     BalancingRequest, Candidate, CustomerLimiter, GenerationConfig, LoadTable, Reason, RetryBudget,
     Revision, Shutdown, ShutdownConfig,
 };
+use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -39,6 +40,8 @@
     pub(crate) config: ConfigState,
     /// Memory that connections, requests and the bodies which the router reads share.
     pub(crate) process_memory: ProcessMemory,
+    /// Places for requests whose bodies have arrived, until the heads of their responses are sent.
+    pub(crate) in_flight: Semaphore,
     pub(crate) peers: Peers,
     pub(crate) directory: Directory,
     pub(crate) claims: ClaimShards,
@@ -70,6 +73,7 @@
         Self {
             agent_client: HttpClient::new(HttpVersion::Http2).with_memory(process_memory.clone()),
             process_memory,
+            in_flight: Semaphore::new(cfg.max_in_flight.min(Semaphore::MAX_PERMITS)),
             control: ControlClient::new(),
             config: ConfigState::new(),
             peers: Peers::new(own, &cfg.seeds),
--- a/crates/cactusbarrow_router/src/run.rs
+++ b/crates/cactusbarrow_router/src/run.rs
@@ -15,12 +15,10 @@
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
-use tower::ServiceBuilder;
 
 use crate::auth::authenticate;
 use crate::config::{Peer, RouterConfig};
 use crate::control::RouterControl;
-use crate::in_flight_limit::InFlightLimitLayer;
 use crate::refusal::Refusal;
 use crate::request::outcome_from_headers;
 use crate::router::Router;
@@ -122,12 +120,10 @@
         ..ServeConfig::default()
     };
     let handler = router.clone();
-    let service = ServiceBuilder::new()
-        .layer(InFlightLimitLayer::new(router.cfg.max_in_flight))
-        .service_fn(move |req| {
-            let router = handler.clone();
-            async move { Ok::<_, Infallible>(handle(&router, req).await) }
-        });
+    let service = tower::service_fn(move |req| {
+        let router = handler.clone();
+        async move { Ok::<_, Infallible>(handle(&router, req).await) }
+    });
     let server = serve(listener, service, cfg, close.clone());
     tokio::pin!(server);
     tokio::select! {
@@ -216,6 +212,11 @@
                 .with_message("the body did not arrive within 10 s"));
         }
     };
+    // Callers that are slow to send a body keep none of the places.
+    let _permit = router
+        .in_flight
+        .try_acquire()
+        .map_err(|_| refuse(Reason::Overloaded, "admit request"))?;
     if !holding.keep() {
         return Err(refuse(Reason::NoMemory, "admit request"));
     }
