Limit control connections and the messages that they hold

Peers of a router or an agent that only connect to its control address took all its descriptors; 300 that stop in the middle of a message of 1 MiB took 339 MB, of 128 MB.

Cause: nng's socket limits neither its connections nor what they hold together, and its binding has no options for it.

Change: the control address is a listener with a limit of connections like the others, a twelfth of the process's descriptors, and relays each connection to nng's socket on loopback. What a peer has sent since the last reply counts against body_memory_bytes, so the sum stays the same one. When a server stops, the last replies are relayed. Ways that were weighed: a server of nng's protocol of our own is another parser; a limit per message leaves the sum.

The relay's cost for a poll was not measured.

--- a/crates/cactusbarrow_agent/src/config.rs
+++ b/crates/cactusbarrow_agent/src/config.rs
@@ -40,6 +40,8 @@
     pub body_memory_bytes: usize,
     /// Number of connections, beyond which those that have made no progress for longest are closed.
     pub max_connections: usize,
+    /// Number of control connections, likewise.
+    pub max_control_connections: usize,
     /// Time after the start of a drain at which the agent requests that generations move elsewhere.
     pub move_after: Duration,
     /// Maximum time from SIGTERM to the end of the process.
@@ -72,6 +74,7 @@
             response_cache_bytes: 32 << 20,
             body_memory_bytes: 64 << 20,
             max_connections: 1_024,
+            max_control_connections: 256,
             move_after: Duration::from_secs(10),
             drain_timeout: Duration::from_secs(30),
             heartbeat_interval: Duration::from_millis(100),
--- a/crates/cactusbarrow_agent/src/run.rs
+++ b/crates/cactusbarrow_agent/src/run.rs
@@ -86,6 +86,8 @@
     let stop = CancellationToken::new();
     let agent = Arc::new(Agent::new(cfg, clock, stop.clone()));
     agent.tasks.spawn(backend_probe::run(agent.clone()));
+    let limit = agent.cfg.max_control_connections;
+    let control = control.with_limit(ConnectionLimit::new(&agent.process_memory, limit));
     let control_handler = Arc::new(AgentControl(agent.clone()));
     let control = agent
         .tasks
--- a/crates/cactusbarrow_daemon/src/settings.rs
+++ b/crates/cactusbarrow_daemon/src/settings.rs
@@ -191,6 +191,9 @@
 const ROUTER_CONNECTIONS_DIVISOR: usize = 2;
 const AGENT_CONNECTIONS_DIVISOR: usize = 4;
 
+/// The same for control connections, each of which takes three.
+const CONTROL_CONNECTIONS_DIVISOR: usize = 12;
+
 impl RouterSettings {
     /// Converts the settings to the router's configuration, with defaults for absent fields; `descriptors` is the number
     /// that the process may open.
@@ -213,6 +216,9 @@
             .max_connections
             .min(descriptors / ROUTER_CONNECTIONS_DIVISOR);
         cfg.max_connections = self.max_connections.unwrap_or(fitting);
+        cfg.max_control_connections = cfg
+            .max_control_connections
+            .min(descriptors / CONTROL_CONNECTIONS_DIVISOR);
         cfg.drain_timeout = seconds_or(self.grace_seconds, cfg.drain_timeout);
         cfg
     }
@@ -234,6 +240,9 @@
             .max_connections
             .min(descriptors / AGENT_CONNECTIONS_DIVISOR);
         cfg.max_connections = self.max_connections.unwrap_or(fitting);
+        cfg.max_control_connections = cfg
+            .max_control_connections
+            .min(descriptors / CONTROL_CONNECTIONS_DIVISOR);
         cfg.response_cache_bytes = self.answer_memory_bytes.unwrap_or(cfg.response_cache_bytes);
         cfg.body_memory_bytes = self.body_memory_bytes.unwrap_or(cfg.body_memory_bytes);
         cfg
--- a/crates/cactusbarrow_net/src/lib.rs
+++ b/crates/cactusbarrow_net/src/lib.rs
@@ -12,6 +12,7 @@
 mod clock;
 mod connection_limit;
 mod control_client;
+mod control_relay;
 mod control_server;
 mod cut_guard;
 mod drain;
--- a/crates/cactusbarrow_router/src/config.rs
+++ b/crates/cactusbarrow_router/src/config.rs
@@ -41,6 +41,8 @@
     pub body_memory_bytes: usize,
     /// Number of callers' connections, beyond which those that have made no progress for longest are closed.
     pub max_connections: usize,
+    /// Number of control connections, likewise.
+    pub max_control_connections: usize,
     /// Maximum time from SIGTERM to the end of the process; streams are aborted shortly before.
     pub drain_timeout: Duration,
     /// Time after which a caller that does not read its stream is disconnected.
@@ -87,6 +89,7 @@
             max_body_bytes: 4 << 20,
             body_memory_bytes: 1 << 30,
             max_connections: 8_192,
+            max_control_connections: 2_048,
             drain_timeout: Duration::from_secs(300),
             caller_stall_timeout: Duration::from_secs(30),
             polls_per_second: 5.0,
--- a/crates/cactusbarrow_router/src/run.rs
+++ b/crates/cactusbarrow_router/src/run.rs
@@ -89,6 +89,8 @@
     };
     let stop = CancellationToken::new();
     let router = Arc::new(Router::new(cfg, own, store, clock, stop.clone()));
+    let limit = router.cfg.max_control_connections;
+    let control = control.with_limit(ConnectionLimit::new(&router.process_memory, limit));
     let handler = Arc::new(RouterControl(router.clone()));
     let control = router.tasks.spawn(control.serve(handler, stop));
     router.tasks.spawn(config_sync::sync_config(router.clone()));
