Refuse a body at its head if kept ones leave no memory for it

A caller that stated the length of a body sent much of it before it was refused, although what the process had to keep left no memory for it. MemoryBudget::could_hold tells at the head.

--- a/crates/cactusbarrow_agent/src/calls.rs
+++ b/crates/cactusbarrow_agent/src/calls.rs
@@ -137,14 +137,16 @@
     peer: &str,
 ) -> Result<Bytes, Response<Body>> {
     let holding = body.holding().clone();
-    let refuse = |status, reason| Err(failure_response(status, Outcome::NotRun, reason));
+    let refusal = |status, reason| failure_response(status, Outcome::NotRun, reason);
     match body.collect(&agent.process_memory, limit, peer).await {
         Ok(CollectedBody::Whole(body)) if holding.keep() => Ok(body),
         Ok(CollectedBody::Whole(_) | CollectedBody::GivenUp) => {
             Err(refusal_response(Reason::NoMemory))
         }
-        Ok(CollectedBody::TooLarge) => refuse(StatusCode::PAYLOAD_TOO_LARGE, Reason::TooLarge),
-        Err(_) => refuse(StatusCode::BAD_REQUEST, Reason::BadRequest),
+        Ok(CollectedBody::TooLarge) => {
+            Err(refusal(StatusCode::PAYLOAD_TOO_LARGE, Reason::TooLarge))
+        }
+        Err(_) => Err(refusal(StatusCode::BAD_REQUEST, Reason::BadRequest)),
     }
 }
 
--- a/crates/cactusbarrow_gateway/src/generation/attempt.rs
+++ b/crates/cactusbarrow_gateway/src/generation/attempt.rs
@@ -220,10 +220,6 @@
         timeout: Duration,
         judge: impl Fn(ResumeEvent) -> Option<ResumeEvent>,
     ) -> OpenResult<C> {
-        if !req.holding.keep() {
-            // The request is refused as it is given up.
-            return OpenResult::Failed(ResumeEvent::NotConnected);
-        }
         let shared = &req.shared;
         let mut loss = LossWatch::new(shared.clone(), target.key);
         let load_guard = LoadGuard::new(req, &target);
@@ -405,6 +401,10 @@
     timeout: Duration,
     judge: impl Fn(ResumeEvent) -> Option<ResumeEvent>,
 ) -> Result<BackendConnection, OpenResult<C>> {
+    if !req.holding.keep() {
+        // The request is refused as it is given up.
+        return Err(OpenResult::Failed(ResumeEvent::NotConnected));
+    }
     let conn = connect(req, target).await.map_err(OpenResult::Failed)?;
     if !req.kind.can_resume() {
         return Ok(conn);
--- a/crates/cactusbarrow_net/src/control_relay.rs
+++ b/crates/cactusbarrow_net/src/control_relay.rs
@@ -99,7 +99,7 @@
         let bytes = self.bytes.fetch_add(count, Ordering::Relaxed) + count;
         self.holding.record_bytes(count);
         if !self.holding.grow(CONNECTION_BYTES + bytes).await {
-            std::future::pending().await
+            std::future::pending::<()>().await;
         }
     }
 
--- a/crates/cactusbarrow_net/src/drain.rs
+++ b/crates/cactusbarrow_net/src/drain.rs
@@ -73,6 +73,7 @@
             () = usage.given_up() => {
                 on_close(CloseCause::Overload);
                 if usage.is_serving() {
+                    conn.as_mut().graceful_shutdown();
                     let ended = tokio::time::timeout(REFUSAL_TIMEOUT, conn).await;
                     return ended.unwrap_or(Ok(()));
                 }
--- a/crates/cactusbarrow_net/src/process_memory.rs
+++ b/crates/cactusbarrow_net/src/process_memory.rs
@@ -55,7 +55,6 @@
 #[derive(Debug)]
 struct Shared {
     state: Mutex<State>,
-    limit: usize,
     /// Notified when something is freed.
     freed: Notify,
 }
@@ -105,7 +104,6 @@
                 budget: MemoryBudget::new(limit),
                 tokens: HashMap::new(),
             }),
-            limit,
             freed: Notify::new(),
         }))
     }
@@ -145,7 +143,7 @@
         if stated > limit {
             return Ok(CollectedBody::TooLarge);
         }
-        if stated > self.0.limit {
+        if !self.state().budget.could_hold(stated) {
             return Ok(CollectedBody::GivenUp);
         }
         let mut buf = Vec::new();
--- a/crates/cactusbarrow_net/tests/server_stops.rs
+++ b/crates/cactusbarrow_net/tests/server_stops.rs
@@ -156,7 +156,7 @@
     let mut accepted = Vec::new();
     let limit = ConnectionLimit::default();
     accept_until(listener, &stop, &limit, |stream, _, _| {
-        accepted.push(stream)
+        accepted.push(stream);
     })
     .await;
     assert_eq!(accepted.len(), callers.len());
--- a/crates/cactusbarrow_policy/src/memory_budget.rs
+++ b/crates/cactusbarrow_policy/src/memory_budget.rs
@@ -84,6 +84,8 @@
     held: usize,
     /// Bytes of holdings that were given up and have not ended.
     given_up: usize,
+    /// Bytes of holdings that may be given up.
+    waiting: usize,
     now: Tick,
     holdings: SlotMap<HoldingKey, Holding>,
     listeners: SlotMap<ListenerKey, Listener>,
@@ -103,6 +105,7 @@
             limit,
             held: 0,
             given_up: 0,
+            waiting: 0,
             now: 0,
             holdings: SlotMap::with_key(),
             listeners: SlotMap::with_key(),
@@ -121,6 +124,21 @@
         self.held <= self.limit
     }
 
+    /// Returns whether there is memory for a body of `bytes` bytes, if all that may be given up is.
+    pub fn could_hold(&self, bytes: usize) -> bool {
+        let kept = self.held - self.given_up - self.waiting;
+        kept.saturating_add(bytes) <= self.limit_for(bytes)
+    }
+
+    /// Returns the part of the memory that a holding of `bytes` bytes may take with all others.
+    fn limit_for(&self, bytes: usize) -> usize {
+        if bytes <= SMALL_BYTES {
+            self.limit
+        } else {
+            self.limit - self.limit / RESERVE_DIVISOR
+        }
+    }
+
     /// Adds a listener with a limit of its connections.
     pub fn add_listener(&mut self, limit: usize) -> ListenerKey {
         self.listeners.insert(Listener {
@@ -287,12 +305,7 @@
         };
         let began_at = holding.is_of_caller.then_some(holding.began_at);
         let grown_bytes = holding.total_bytes().saturating_add(extra);
-        let reserve = if grown_bytes <= SMALL_BYTES {
-            0
-        } else {
-            self.limit / RESERVE_DIVISOR
-        };
-        let limit = self.limit - reserve;
+        let limit = self.limit_for(grown_bytes);
         while (self.held - self.given_up).saturating_add(extra) > limit
             && !self.is_given_up(growing)
         {
@@ -414,6 +427,7 @@
             self.by_progress.insert((holding.progressed_at, key));
         }
         self.by_size.insert(size_entry(holding, key));
+        self.waiting += holding.total_bytes();
         if let Some(listener) = holding.listener.and_then(|key| self.listeners.get_mut(key)) {
             listener.waiting.insert((holding.progressed_at, key));
         }
@@ -424,7 +438,9 @@
             return;
         };
         self.by_progress.remove(&(holding.progressed_at, key));
-        self.by_size.remove(&size_entry(holding, key));
+        if self.by_size.remove(&size_entry(holding, key)) {
+            self.waiting -= holding.total_bytes();
+        }
         if let Some(listener) = holding.listener.and_then(|key| self.listeners.get_mut(key)) {
             listener.waiting.remove(&(holding.progressed_at, key));
         }
--- a/crates/cactusbarrow_policy/tests/memory_budget.rs
+++ b/crates/cactusbarrow_policy/tests/memory_budget.rs
@@ -142,6 +142,24 @@
     assert!((0..100).all(|_| connect(&mut budget, listener).is_some()));
 }
 
+/// Guards against bodies that are read although nothing that may be given up leaves enough memory for them.
+#[test]
+fn body_that_cannot_be_held_is_known_at_its_head() {
+    let mut budget = MemoryBudget::new(4 * LIMIT);
+    let body = budget.begin_body(None);
+    assert!(budget.resize(body, 2 * LIMIT).is_empty());
+    assert!(budget.could_hold(3 * LIMIT), "the other may be given up");
+    assert!(
+        !budget.could_hold(3 * LIMIT + 1),
+        "a quarter is for small ones"
+    );
+    assert!(budget.keep(body));
+    assert!(budget.could_hold(LIMIT));
+    assert!(!budget.could_hold(LIMIT + 1));
+    budget.end(body);
+    assert!(budget.could_hold(3 * LIMIT));
+}
+
 #[test]
 fn body_is_given_up_with_its_owner_and_counts_until_it_ends() {
     let mut budget = MemoryBudget::new(LIMIT);
