Allocate the future of a request when its head has arrived

An idle connection took the memory of a request: hyper allocates the service's future when it accepts a connection, and since that is small enough, copies all of it there. Boxed, it is allocated with the request.

--- a/crates/cactusbarrow_gateway/src/connection.rs
+++ b/crates/cactusbarrow_gateway/src/connection.rs
@@ -58,11 +58,12 @@
     let service = service_fn(|req| {
         let served = serve_request(&usage, &handler, req, cut_guard.clone());
         let (usage, limits, stop) = (&usage, &limits, &stop);
-        async move {
+        // Boxed, so that idle connections do not take the memory of a request.
+        Box::pin(async move {
             let mut res = served.await;
             set_connection_headers(&mut res, usage, stop, &limits.idle_timeout);
             Ok::<_, Infallible>(res)
-        }
+        })
     });
     let conn = http1::Builder::new()
         .timer(TokioTimer::new())
--- a/crates/cactusbarrow_net/src/server.rs
+++ b/crates/cactusbarrow_net/src/server.rs
@@ -130,7 +130,13 @@
     let served = usage.clone();
     let service = service_fn(move |mut req: Request<Incoming>| {
         req.extensions_mut().insert(PeerAddr(peer));
-        serve_request(service.clone(), req, served.clone(), cut_guard.clone())
+        // Boxed, so that idle connections do not take the memory of a request.
+        Box::pin(serve_request(
+            service.clone(),
+            req,
+            served.clone(),
+            cut_guard.clone(),
+        ))
     });
     let mut builder = Builder::new(TokioExecutor::new());
     builder
