Keep the dependencies of cactusbarrow_net as they were

MemoryBudget moves to cactusbarrow_net, where BodyBudget was: still without I/O and clocks, with its own tests; its keys are numbers instead of those of slotmap. The receive buffers are limited where a listener is created, with Tokio, also at the address for operators.

--- a/crates/cactusbarrow_daemon/src/admin.rs
+++ b/crates/cactusbarrow_daemon/src/admin.rs
@@ -4,10 +4,11 @@
 use std::net::SocketAddr;
 
 use anyhow::Context;
-use cactusbarrow_net::{Body, ConnectionLimit, ProcessMemory, RequestBody, ServeConfig, serve};
+use cactusbarrow_net::{
+    Body, ConnectionLimit, ProcessMemory, RequestBody, ServeConfig, listen, serve,
+};
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
-use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
@@ -42,7 +43,7 @@
     status: watch::Receiver<Status>,
     shutdown: CancellationToken,
 ) -> anyhow::Result<()> {
-    let listener = TcpListener::bind(addr)
+    let (listener, _) = listen(addr)
         .await
         .with_context(|| format!("listen on {addr} for metrics and health"))?;
     let service = tower::service_fn(move |req: Request<RequestBody>| {
--- a/crates/cactusbarrow_net/src/accept.rs
+++ b/crates/cactusbarrow_net/src/accept.rs
@@ -4,21 +4,18 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
+use crate::server::LISTEN_BACKLOG;
 use crate::{ConnectionLimit, Holding};
 
-/// Bytes that the operating system receives for a connection before they are read.
-const RECEIVE_BUFFER_BYTES: usize = 32 << 10;
-
 /// Delay after a failed accept, for instance when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Largest number of connections that are taken from the listen queue at the stop: the backlog of the listener,
 /// so that callers which keep connecting cannot delay it.
-const MAX_QUEUED_CONNECTIONS: usize = 1_024;
+const MAX_QUEUED_CONNECTIONS: usize = LISTEN_BACKLOG as usize;
 
 /// Accepts connections until `stop` is cancelled, then those in the listen queue, and closes the listener.
 ///
@@ -32,10 +29,6 @@
     limit: &ConnectionLimit,
     mut on_accept: impl FnMut(TcpStream, SocketAddr, Holding),
 ) {
-    // Accepted connections inherit it.
-    if let Err(e) = SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES) {
-        log::debug!(step = "accept"; "cannot limit the receive buffers: {e}");
-    }
     loop {
         let accepted = tokio::select! {
             biased;
--- a/crates/cactusbarrow_net/src/connection_limit.rs
+++ b/crates/cactusbarrow_net/src/connection_limit.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cactusbarrow_policy::ListenerKey;
+use crate::memory_budget::ListenerKey;
 use tokio_util::sync::CancellationToken;
 
 use crate::process_memory::State;
--- a/crates/cactusbarrow_net/src/holding.rs
+++ b/crates/cactusbarrow_net/src/holding.rs
@@ -1,6 +1,6 @@
 //! What a connection, request or body takes of a process's memory.
 
-use cactusbarrow_policy::HoldingKey;
+use crate::memory_budget::HoldingKey;
 use tokio_util::sync::CancellationToken;
 
 use crate::ProcessMemory;
--- a/crates/cactusbarrow_policy/src/memory_budget.rs
+++ b/crates/cactusbarrow_net/src/memory_budget.rs
@@ -8,17 +8,15 @@
 //! recent progress first; otherwise the largest holding is. Requests that have been passed on and bodies that are complete are
 //! kept.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap};
 
-use slotmap::{SlotMap, new_key_type};
+/// Identifies what counts against a [`MemoryBudget`]: a connection, a request, or a body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct HoldingKey(Tick);
 
-new_key_type! {
-    /// Identifies what counts against a [`MemoryBudget`]: a connection, a request, or a body.
-    pub struct HoldingKey;
-
-    /// Identifies a listener, whose connections have a limit of their own.
-    pub struct ListenerKey;
-}
+/// Identifies a listener, whose connections have a limit of their own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ListenerKey(usize);
 
 /// Size up to which a holding may take the last part of the memory, which large ones leave to others, in bytes.
 const SMALL_BYTES: usize = 256 << 10;
@@ -87,8 +85,8 @@
     /// Bytes of holdings that may be given up.
     waiting: usize,
     now: Tick,
-    holdings: SlotMap<HoldingKey, Holding>,
-    listeners: SlotMap<ListenerKey, Listener>,
+    holdings: HashMap<HoldingKey, Holding>,
+    listeners: Vec<Listener>,
     /// Holdings of callers that may be given up, least recent progress first.
     by_progress: BTreeSet<(Tick, HoldingKey)>,
     /// All that may be given up, by the number of binary digits of their size; in one size, least recent progress first.
@@ -107,8 +105,8 @@
             given_up: 0,
             waiting: 0,
             now: 0,
-            holdings: SlotMap::with_key(),
-            listeners: SlotMap::with_key(),
+            holdings: HashMap::new(),
+            listeners: Vec::new(),
             by_progress: BTreeSet::new(),
             by_size: BTreeSet::new(),
         }
@@ -141,18 +139,19 @@
 
     /// Adds a listener with a limit of its connections.
     pub fn add_listener(&mut self, limit: usize) -> ListenerKey {
-        self.listeners.insert(Listener {
+        self.listeners.push(Listener {
             limit,
             open: 0,
             given_up: 0,
             waiting: BTreeSet::new(),
-        })
+        });
+        ListenerKey(self.listeners.len() - 1)
     }
 
     /// Returns whether a listener has a connection less than its limit.
     pub fn has_room(&self, listener: ListenerKey) -> bool {
         self.listeners
-            .get(listener)
+            .get(listener.0)
             .is_some_and(|listener| listener.open < listener.limit)
     }
 
@@ -160,7 +159,7 @@
     ///
     /// There is room once what was given up has ended, see [`has_room`](Self::has_room).
     pub fn make_room(&mut self, listener: ListenerKey) -> Option<HoldingKey> {
-        let listener = self.listeners.get(listener)?;
+        let listener = self.listeners.get(listener.0)?;
         if listener.open - listener.given_up < listener.limit {
             return None;
         }
@@ -172,7 +171,7 @@
     /// Returns whether a listener has room for a connection, or will once what was given up has ended.
     pub fn will_have_room(&self, listener: ListenerKey) -> bool {
         self.listeners
-            .get(listener)
+            .get(listener.0)
             .is_some_and(|listener| listener.open - listener.given_up < listener.limit)
     }
 
@@ -184,7 +183,7 @@
         listener: ListenerKey,
         bytes: usize,
     ) -> (HoldingKey, Vec<HoldingKey>) {
-        if let Some(listener) = self.listeners.get_mut(listener) {
+        if let Some(listener) = self.listeners.get_mut(listener.0) {
             listener.open += 1;
         }
         let key = self.insert(None, Some(listener), true);
@@ -209,7 +208,8 @@
         is_of_caller: bool,
     ) -> HoldingKey {
         self.now += 1;
-        let key = self.holdings.insert(Holding {
+        let key = HoldingKey(self.now);
+        let holding = Holding {
             bytes: 0,
             attached_bytes: 0,
             owner,
@@ -221,7 +221,8 @@
             began_at: self.now,
             progressed_at: self.now,
             new_bytes: 0,
-        });
+        };
+        self.holdings.insert(key, holding);
         self.link(key);
         key
     }
@@ -230,7 +231,7 @@
     pub fn record_progress(&mut self, key: HoldingKey) {
         self.unlink(key);
         self.now += 1;
-        if let Some(holding) = self.holdings.get_mut(key) {
+        if let Some(holding) = self.holdings.get_mut(&key) {
             holding.progressed_at = self.now;
             holding.new_bytes = 0;
         }
@@ -240,7 +241,7 @@
     /// Records that bytes arrived for a holding, or for its owner.
     pub fn record_bytes(&mut self, key: HoldingKey, bytes: usize) {
         let key = self.given_up_with(key);
-        let Some(holding) = self.holdings.get_mut(key) else {
+        let Some(holding) = self.holdings.get_mut(&key) else {
             return;
         };
         holding.new_bytes += bytes;
@@ -251,17 +252,17 @@
 
     /// Records the size of a holding, in bytes; returns the holdings to give up, which may include this one or its owner.
     pub fn resize(&mut self, key: HoldingKey, bytes: usize) -> Vec<HoldingKey> {
-        let Some(holding) = self.holdings.get(key) else {
+        let Some(holding) = self.holdings.get(&key) else {
             return Vec::new();
         };
         let before = holding.bytes;
         let owner = self.given_up_with(key);
         self.unlink(owner);
-        if let Some(holding) = self.holdings.get_mut(key) {
+        if let Some(holding) = self.holdings.get_mut(&key) {
             holding.bytes = bytes;
         }
         if owner != key
-            && let Some(owner) = self.holdings.get_mut(owner)
+            && let Some(owner) = self.holdings.get_mut(&owner)
         {
             owner.attached_bytes = owner.attached_bytes - before + bytes;
         }
@@ -282,7 +283,7 @@
     ///
     /// If it has not grown it may be tried again once something has ended.
     pub fn try_grow(&mut self, key: HoldingKey, bytes: usize) -> (bool, Vec<HoldingKey>) {
-        let Some(holding) = self.holdings.get(key) else {
+        let Some(holding) = self.holdings.get(&key) else {
             return (false, Vec::new());
         };
         let extra = bytes.saturating_sub(holding.bytes);
@@ -300,7 +301,7 @@
     /// holding itself.
     fn make_memory(&mut self, growing: HoldingKey, extra: usize) -> Vec<HoldingKey> {
         let mut given_up = Vec::new();
-        let Some(holding) = self.holdings.get(growing) else {
+        let Some(holding) = self.holdings.get(&growing) else {
             return given_up;
         };
         let began_at = holding.is_of_caller.then_some(holding.began_at);
@@ -331,7 +332,7 @@
 
     fn give_up(&mut self, key: HoldingKey) {
         self.unlink(key);
-        let Some(holding) = self.holdings.get_mut(key) else {
+        let Some(holding) = self.holdings.get_mut(&key) else {
             return;
         };
         if holding.is_given_up {
@@ -339,7 +340,10 @@
         }
         holding.is_given_up = true;
         self.given_up += holding.total_bytes();
-        if let Some(listener) = holding.listener.and_then(|key| self.listeners.get_mut(key)) {
+        if let Some(listener) = holding
+            .listener
+            .and_then(|key| self.listeners.get_mut(key.0))
+        {
             listener.given_up += 1;
         }
     }
@@ -358,7 +362,7 @@
     /// connection may be given up.
     pub fn set_blocked(&mut self, key: HoldingKey, is_blocked: bool) {
         self.unlink(key);
-        if let Some(holding) = self.holdings.get_mut(key) {
+        if let Some(holding) = self.holdings.get_mut(&key) {
             holding.is_blocked = is_blocked;
         }
         self.record_progress(key);
@@ -366,7 +370,7 @@
 
     fn set_kept_requests(&mut self, key: HoldingKey, change: impl FnOnce(usize) -> usize) -> bool {
         self.unlink(key);
-        let Some(holding) = self.holdings.get_mut(key) else {
+        let Some(holding) = self.holdings.get_mut(&key) else {
             return false;
         };
         if holding.is_given_up {
@@ -381,14 +385,17 @@
     pub fn end(&mut self, key: HoldingKey) {
         self.resize(key, 0);
         self.unlink(key);
-        let Some(holding) = self.holdings.remove(key) else {
+        let Some(holding) = self.holdings.remove(&key) else {
             return;
         };
         if holding.is_given_up {
             // What is attached still counts, by itself.
             self.given_up -= holding.attached_bytes;
         }
-        if let Some(listener) = holding.listener.and_then(|key| self.listeners.get_mut(key)) {
+        if let Some(listener) = holding
+            .listener
+            .and_then(|key| self.listeners.get_mut(key.0))
+        {
             listener.open -= 1;
             listener.given_up -= usize::from(holding.is_given_up);
         }
@@ -396,28 +403,28 @@
 
     /// Returns the holding that a holding is given up with: its owner while that has not ended, or itself.
     pub fn given_up_with(&self, key: HoldingKey) -> HoldingKey {
-        let owner = self.holdings.get(key).and_then(|holding| holding.owner);
+        let owner = self.holdings.get(&key).and_then(|holding| holding.owner);
         owner
-            .filter(|owner| self.holdings.contains_key(*owner))
+            .filter(|owner| self.holdings.contains_key(owner))
             .unwrap_or(key)
     }
 
     /// Returns whether a holding is a connection, with the request that it carries.
     pub fn is_connection(&self, key: HoldingKey) -> bool {
         self.holdings
-            .get(key)
+            .get(&key)
             .is_some_and(|holding| holding.listener.is_some())
     }
 
     fn is_given_up(&self, key: HoldingKey) -> bool {
         self.holdings
-            .get(key)
+            .get(&key)
             .is_some_and(|holding| holding.is_given_up)
     }
 
     /// Adds a holding to the orders, if it may be given up.
     fn link(&mut self, key: HoldingKey) {
-        let Some(holding) = self.holdings.get(key) else {
+        let Some(holding) = self.holdings.get(&key) else {
             return;
         };
         if !holding.may_be_given_up() {
@@ -428,20 +435,26 @@
         }
         self.by_size.insert(size_entry(holding, key));
         self.waiting += holding.total_bytes();
-        if let Some(listener) = holding.listener.and_then(|key| self.listeners.get_mut(key)) {
+        if let Some(listener) = holding
+            .listener
+            .and_then(|key| self.listeners.get_mut(key.0))
+        {
             listener.waiting.insert((holding.progressed_at, key));
         }
     }
 
     fn unlink(&mut self, key: HoldingKey) {
-        let Some(holding) = self.holdings.get(key) else {
+        let Some(holding) = self.holdings.get(&key) else {
             return;
         };
         self.by_progress.remove(&(holding.progressed_at, key));
         if self.by_size.remove(&size_entry(holding, key)) {
             self.waiting -= holding.total_bytes();
         }
-        if let Some(listener) = holding.listener.and_then(|key| self.listeners.get_mut(key)) {
+        if let Some(listener) = holding
+            .listener
+            .and_then(|key| self.listeners.get_mut(key.0))
+        {
             listener.waiting.remove(&(holding.progressed_at, key));
         }
     }
--- a/crates/cactusbarrow_net/src/process_memory.rs
+++ b/crates/cactusbarrow_net/src/process_memory.rs
@@ -4,8 +4,8 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use crate::memory_budget::{HoldingKey, MemoryBudget};
 use bytes::Bytes;
-use cactusbarrow_policy::{HoldingKey, MemoryBudget};
 use http_body::Body as HttpBody;
 use http_body_util::BodyExt;
 use tokio::sync::Notify;
--- a/crates/cactusbarrow_net/src/server.rs
+++ b/crates/cactusbarrow_net/src/server.rs
@@ -11,7 +11,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 use tower::{Service, ServiceExt};
@@ -29,6 +29,12 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PeerAddr(pub SocketAddr);
 
+/// Connections that wait to be accepted.
+pub(crate) const LISTEN_BACKLOG: u32 = 1_024;
+
+/// Bytes that the operating system receives for a connection before they are read.
+const RECEIVE_BUFFER_BYTES: u32 = 32 << 10;
+
 /// Streams that a connection of HTTP/2 may carry at once.
 const HTTP2_STREAMS: u32 = 4_096;
 
@@ -63,7 +69,19 @@
 /// Listens on an address and returns the one bound: port 0 selects any free port.
 pub async fn listen(addr: SocketAddr) -> Result<(TcpListener, SocketAddr), NetError> {
     let error = |e: std::io::Error| NetError::new("listen", addr, e);
-    let listener = TcpListener::bind(addr).await.map_err(error)?;
+    let socket = if addr.is_ipv4() {
+        TcpSocket::new_v4()
+    } else {
+        TcpSocket::new_v6()
+    };
+    let socket = socket.map_err(error)?;
+    socket.set_reuseaddr(true).map_err(error)?;
+    // Accepted connections inherit it.
+    socket
+        .set_recv_buffer_size(RECEIVE_BUFFER_BYTES)
+        .map_err(error)?;
+    socket.bind(addr).map_err(error)?;
+    let listener = socket.listen(LISTEN_BACKLOG).map_err(error)?;
     let addr = listener.local_addr().map_err(error)?;
     Ok((listener, addr))
 }
--- a/crates/cactusbarrow_policy/tests/memory_budget.rs
+++ b/crates/cactusbarrow_net/tests/memory_budget.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use cactusbarrow_policy::{HoldingKey, ListenerKey, MemoryBudget};
+use cactusbarrow_net::{HoldingKey, ListenerKey, MemoryBudget};
 use proptest::prelude::*;
 
 const LIMIT: usize = 1 << 20;
--- a/crates/cactusbarrow_policy/src/lib.rs
+++ b/crates/cactusbarrow_policy/src/lib.rs
@@ -27,7 +27,6 @@
 mod ids;
 mod limits;
 mod load_balancing;
-mod memory_budget;
 mod operator_config;
 mod orders;
 mod origin_holders;
@@ -89,7 +88,6 @@
 pub use load_balancing::{
     BackendLoad, BalancingConfig, BalancingRequest, BalancingStrategy, Candidate, LoadTable,
 };
-pub use memory_budget::{HoldingKey, ListenerKey, MemoryBudget};
 pub use operator_config::{
     CallerLimits, CustomerSpec, OperatorConfig, OperatorConfigCell, RequestKind, ResolveError,
     Route, ServiceName, ServiceSpec,
