Let unread responses over HTTP/2 keep no others from arriving

Callers of a router whose responses were not read kept the responses of all others from the same agent: beside 40 of them an ordinary call was not served in 20 tries of 5 s, in the one run of unread_responses_leave_a_router_within_its_limits beside load (it passed in four in calm, where the kernel's buffers take more of the responses).

Cause, by reading: the streams from an agent share a connection, which receives 5 MiB ahead of its readers in all and 2 MiB of a stream; three unread responses take all of it.

Change: a stream receives 64 KiB ahead, and the connection as much as the protocol allows, so that the streams alone bound it.

--- a/crates/cactusbarrow_net/src/http_client.rs
+++ b/crates/cactusbarrow_net/src/http_client.rs
@@ -18,6 +18,13 @@
 /// Size of the largest read buffer of a connection, and so of the head of a response, in bytes.
 pub const MAX_READ_BUFFER_BYTES: usize = 64 << 10;
 
+/// Bytes of a response over HTTP/2 that are received before they are read.
+const HTTP2_STREAM_WINDOW: u32 = 64 << 10;
+
+/// Bytes of all responses on a connection likewise: the largest that the protocol allows, so that responses which are not
+/// read never keep others from arriving.
+const HTTP2_CONNECTION_WINDOW: u32 = (1 << 31) - 1;
+
 /// HTTP version that a client uses.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HttpVersion {
@@ -63,6 +70,8 @@
         if version == HttpVersion::Http2 {
             builder
                 .http2_only(true)
+                .http2_initial_stream_window_size(HTTP2_STREAM_WINDOW)
+                .http2_initial_connection_window_size(HTTP2_CONNECTION_WINDOW)
                 .http2_keep_alive_interval(KEEP_ALIVE_INTERVAL)
                 .http2_keep_alive_timeout(KEEP_ALIVE_TIMEOUT);
         }
