Show that unread responses over HTTP/2 keep all connections of a router

Cause, by reading: a connection is kept while one of its requests is, and only a write that waits shows that its peer does not read, which flow control per stream prevents.

Imports are in order.

--- a/crates/cactusbarrow_net/src/connection_limit.rs
+++ b/crates/cactusbarrow_net/src/connection_limit.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use crate::memory_budget::ListenerKey;
 use tokio_util::sync::CancellationToken;
 
+use crate::memory_budget::ListenerKey;
 use crate::process_memory::State;
 use crate::{Holding, ProcessMemory};
 
--- a/crates/cactusbarrow_net/src/holding.rs
+++ b/crates/cactusbarrow_net/src/holding.rs
@@ -1,9 +1,9 @@
 //! What a connection, request or body takes of a process's memory.
 
-use crate::memory_budget::HoldingKey;
 use tokio_util::sync::CancellationToken;
 
 use crate::ProcessMemory;
+use crate::memory_budget::HoldingKey;
 use crate::process_memory::State;
 
 /// A holding that others are given up with; it may have ended.
--- a/crates/cactusbarrow_net/src/process_memory.rs
+++ b/crates/cactusbarrow_net/src/process_memory.rs
@@ -4,7 +4,6 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use crate::memory_budget::{HoldingKey, MemoryBudget};
 use bytes::Bytes;
 use http_body::Body as HttpBody;
 use http_body_util::BodyExt;
@@ -13,6 +12,7 @@
 
 use crate::NetError;
 use crate::holding::{Holding, Owner};
+use crate::memory_budget::{HoldingKey, MemoryBudget};
 
 /// Size up to which a body does not count, in bytes: the request or connection that it belongs to counts for it.
 const UNCOUNTED_BYTES: usize = 16 << 10;
--- a/tests/router_crowds.rs
+++ b/tests/router_crowds.rs
@@ -122,6 +122,11 @@
 
 impl Site {
     async fn start() -> Self {
+        Self::start_with("").await
+    }
+
+    /// Starts the same with further settings of the router.
+    async fn start_with(settings: &str) -> Self {
         let store = ConsulServer::start(SocketAddr::from(([127, 0, 0, 1], 0))).await;
         let engine = Engine::start(EngineConfig::new(VERSION), Ledger::default(), 1).await;
         let agent = Daemon::start(
@@ -147,7 +152,7 @@
             "router",
             "crowd-router",
             &format!(
-                "zone: zone-a\nstore: {}\nmax_body_bytes: {BODY_BYTES}\nmax_in_flight: {MAX_IN_FLIGHT}\n",
+                "zone: zone-a\nstore: {}\nmax_body_bytes: {BODY_BYTES}\nmax_in_flight: {MAX_IN_FLIGHT}\n{settings}",
                 store.addr
             ),
         );
@@ -427,6 +432,43 @@
     assert!(is_served, "{name}: no call is served beside them");
 }
 
+/// Guards against callers of HTTP/2 that read nothing, and so keep all connections.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn unread_streams_leave_a_router_connections_for_others() {
+    const UNREAD_STREAMS: usize = 60;
+    let _turn = TURN.lock().await;
+    let site = Site::start_with("max_connections: 40\n").await;
+    let addr = site.router.addrs[0];
+    let mut crowd = JoinSet::new();
+    for _ in 0..UNREAD_STREAMS {
+        let Ok(conn) = TcpStream::connect(addr).await else {
+            continue;
+        };
+        let handshake = http2::Builder::new(TokioExecutor::new())
+            .initial_stream_window_size(1_024)
+            .handshake(TokioIo::new(conn));
+        let Ok((mut send, conn)) = handshake.await else {
+            continue;
+        };
+        crowd.spawn(async move {
+            let _ = conn.await;
+        });
+        let req = Request::post(format!("http://{addr}{CALLS_PATH}"))
+            .header("authorization", format!("Bearer {API_KEY}"))
+            .header("x-case", format!("case-{LARGE_CASE}."))
+            .body(Body::Empty)
+            .expect("a request");
+        if let Ok(Ok(res)) = tokio::time::timeout(TIMEOUT, send.send_request(req)).await {
+            crowd.spawn(async move {
+                let _unread = (res, send);
+                std::future::pending::<()>().await;
+            });
+        }
+    }
+    let name = format!("{UNREAD_STREAMS} unread streams");
+    check_service(&site, &site.router, &name, crowd).await;
+}
+
 /// Guards against control messages that are announced and sent in part.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn stalled_control_messages_leave_a_router_within_its_limits() {
