--- a/review/standins-3/src/lib.rs
+++ b/review/standins-3/src/lib.rs
@@ -95,6 +95,12 @@
             .line(format!("gateway {name} started, process {}", child.id()));
         Ok(Gateway(child))
     }
+
+    /// Replaces the settings file of a gateway.
+    pub fn change_settings(&self, name: &str, settings: &str) -> anyhow::Result<()> {
+        let file = self.work_dir.join(format!("{name}.yaml"));
+        std::fs::write(file, settings).context("replace a settings file")
+    }
 }
 
 /// A gateway process, which ends with this value.
