--- a/review/standins-3/src/bin/plain_engine.rs
+++ b/review/standins-3/src/bin/plain_engine.rs
@@ -1,5 +1,5 @@
-//! An engine as a process of its own, whose answers have no length and end with their channel, as engines may have
-//! them: streams of events on paths below /stream/, plain bodies on others.
+//! An engine as a process of its own. If its start is an even number, each 20th of its answers has no length and ends with its channel, as engines may
+//! have them; the others are chunked. It sends streams of events on paths below /stream/, plain bodies on others.
 //!
 //! usage: plain_engine ADDRESS INSTANCE BORN EVENTS INTERVAL_MS
 
@@ -7,7 +7,11 @@
 use std::net::{TcpListener, TcpStream};
 use std::time::Duration;
 
+/// Of so many answers one has no length.
+const ANSWERS_PER_UNFRAMED: u64 = 20;
+
 struct Engine {
+    answers: std::sync::atomic::AtomicU64,
     instance: String,
     born: u64,
     events: u64,
@@ -22,6 +26,7 @@
     };
     let number = |text: &str| text.parse::<u64>().unwrap_or(0);
     let engine: &'static Engine = Box::leak(Box::new(Engine {
+        answers: std::sync::atomic::AtomicU64::new(0),
         instance: instance.clone(),
         born: number(born),
         events: number(events),
@@ -118,32 +123,79 @@
     }
 }
 
-/// Sends a body of as many lines as a stream has events, as it is made; it ends with the connection.
+/// An answer, with chunks or without a length.
+struct Answer<'a> {
+    out: &'a mut TcpStream,
+    is_framed: bool,
+}
+
+impl<'a> Answer<'a> {
+    /// Sends the head of an answer.
+    fn begin(
+        engine: &Engine,
+        id: &str,
+        kind: &str,
+        out: &'a mut TcpStream,
+    ) -> std::io::Result<Self> {
+        let number = engine
+            .answers
+            .fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        let is_unframed = number % ANSWERS_PER_UNFRAMED == ANSWERS_PER_UNFRAMED / 2;
+        // Half of the engines, by their starts, have such answers.
+        let is_framed = !(is_unframed && engine.born % 2 == 0);
+        let instance = &engine.instance;
+        let framing = if is_framed {
+            "Transfer-Encoding: chunked\r\n"
+        } else {
+            ""
+        };
+        write!(
+            out,
+            "HTTP/1.1 200 OK\r\nContent-Type: {kind}\r\nCactusbarrow-Request-Id: {id}\r\n\
+             Cactusbarrow-Server-Signature: {instance}.{id}\r\nConnection: close\r\n{framing}\r\n"
+        )?;
+        Ok(Self { out, is_framed })
+    }
+
+    fn send(&mut self, text: &str) -> std::io::Result<()> {
+        if self.is_framed {
+            let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+            self.out.write_all(chunk.as_bytes())
+        } else {
+            self.out.write_all(text.as_bytes())
+        }
+    }
+
+    fn end(self) -> std::io::Result<()> {
+        if self.is_framed {
+            self.out.write_all(b"0\r\n\r\n")?;
+        }
+        Ok(())
+    }
+}
+
+/// Sends a body of as many lines as a stream has events, as it is made.
 fn answer(engine: &Engine, id: &str, out: &mut TcpStream) -> std::io::Result<()> {
-    let instance = &engine.instance;
-    write!(
-        out,
-        "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nCactusbarrow-Request-Id: {id}\r\n\
-         Cactusbarrow-Server-Signature: {instance}.{id}\r\nConnection: close\r\n\r\n"
-    )?;
+    let mut answer = Answer::begin(engine, id, "text/plain", out)?;
     for line in 1..=engine.events {
         std::thread::sleep(engine.interval);
-        out.write_all(format!("line {line} of {} by {instance}\n", engine.events).as_bytes())?;
+        answer.send(&format!(
+            "line {line} of {} by {}\n",
+            engine.events, engine.instance
+        ))?;
     }
-    Ok(())
+    answer.end()
 }
 
-/// Sends the events after `last`; the stream ends with the connection.
+/// Sends the events after `last`.
 fn run(engine: &Engine, id: &str, last: u64, out: &mut TcpStream) -> std::io::Result<()> {
-    let instance = &engine.instance;
-    write!(
-        out,
-        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCactusbarrow-Request-Id: {id}\r\n\
-         Cactusbarrow-Server-Signature: {instance}.{id}\r\nConnection: close\r\n\r\n"
-    )?;
+    let mut answer = Answer::begin(engine, id, "text/event-stream", out)?;
     for event in last + 1..=engine.events {
         std::thread::sleep(engine.interval);
-        out.write_all(format!("id: {event}\ndata: token {event} by {instance}\n\n").as_bytes())?;
+        answer.send(&format!(
+            "id: {event}\ndata: token {event} by {}\n\n",
+            engine.instance
+        ))?;
     }
-    Ok(())
+    answer.end()
 }
